--- /dev/null
+++ b/Libraries/Base/base/easylogging.cpp
@@ -0,0 +1,2 @@
+// The library ships as a source file that each user compiles once.
+#include <easylogging++.cc>
--- /dev/null
+++ b/Libraries/Base/base/metrics.hpp
@@ -0,0 +1,100 @@
+// Counters and latency histograms of one process, rendered in the Prometheus text format.
+#pragma once
+
+#include <boost/histogram/accumulators/thread_safe.hpp>
+#include <boost/histogram/axis/regular.hpp>
+#include <boost/histogram/histogram.hpp>
+#include <boost/histogram/make_histogram.hpp>
+
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <tuple>
+
+namespace pomelospread {
+
+/// Every counter of the process. docs/OPERATING.md says what each means.
+enum class counter : std::uint8_t {
+    requests,
+    outcome_ran,
+    outcome_not_run,
+    outcome_unknown,
+    address_answers,
+    target_exchanges,
+    retries,
+    hedges,
+    hedge_wins,
+    queue_waits,
+    refused_queue_full,
+    refused_deadline,
+    refused_customer_limit,
+    target_connect_failures,
+    target_exchanges_broken,
+    claims_sent,
+    claims_granted,
+    claims_refused,
+    claims_unanswered,
+    claims_given,
+    keys_fenced,
+    keys_replayed,
+    relays,
+    records_replicated,
+    records_unreplicated,
+    records_refused,
+    segments_stored,
+    segment_failures,
+    segments_recovered,
+    tables_applied,
+    table_reads_failed,
+    heartbeats_sent,
+    heartbeats_received,
+    heartbeat_bytes_sent,
+    heartbeat_bytes_received,
+    datagrams_rejected,
+    pauses_detected,
+    count_of_counters,
+};
+
+/// Latencies in logarithmic steps from 10 microseconds to 100 seconds. Thread-safe and lock-free.
+class latency_histogram {
+public:
+    latency_histogram();
+    void observe(std::chrono::nanoseconds latency);
+    /// Appends the buckets, the sum and the count under `name`.
+    void render(std::string& text, std::string_view name) const;
+
+private:
+    using axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
+    using cell = boost::histogram::accumulators::thread_safe<std::uint64_t>;
+    using storage = boost::histogram::dense_storage<cell>;
+
+    boost::histogram::histogram<std::tuple<axis>, storage> m_histogram;
+    std::atomic<std::uint64_t> m_sum_nanoseconds{0};
+};
+
+/// All metrics of a process. Thread-safe and lock-free.
+class metrics {
+public:
+    void add(counter which, std::uint64_t amount = 1) noexcept {
+        m_counters[static_cast<std::size_t>(which)].fetch_add(amount, std::memory_order_relaxed);
+    }
+    [[nodiscard]] std::uint64_t value(counter which) const noexcept {
+        return m_counters[static_cast<std::size_t>(which)].load(std::memory_order_relaxed);
+    }
+
+    latency_histogram request_latency; ///< From the whole request to the whole answer.
+    latency_histogram target_latency;  ///< Of exchanges with targets.
+    latency_histogram claim_latency;   ///< Of claims at witnesses.
+
+    [[nodiscard]] std::string render() const;
+
+private:
+    std::array<std::atomic<std::uint64_t>, static_cast<std::size_t>(counter::count_of_counters)> m_counters{};
+};
+
+[[nodiscard]] std::string_view to_string(counter which) noexcept;
+
+} // namespace pomelospread
--- /dev/null
+++ b/Libraries/Coordination/coordination/claim_window.hpp
@@ -0,0 +1,134 @@
+// Decides whether a non-idempotent request may be dispatched, and what a caller may be told about it.
+//
+// A key names a primary and a witness. Only the primary ever dispatches, and only after the witness granted
+// its claim. A witness that is asked about a key it holds no claim for fences the key first, so that no later
+// claim is granted, and may then truthfully say that the request did not run. No clock decides: a pause of
+// either side, however long, only delays messages. docs/design/claims.md weighs the alternatives.
+#pragma once
+
+#include "coordination/request_key.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace pomelospread {
+
+/// The three outcomes that a caller can be told.
+enum class outcome_kind : std::uint8_t {
+    ran,     ///< The target answered; the answer is whole.
+    not_run, ///< The request did not run and never will under this key.
+    unknown, ///< It may have run.
+};
+
+[[nodiscard]] std::string_view to_string(outcome_kind kind) noexcept;
+
+/// The decided outcome of a key, with the answer while it is kept.
+struct request_outcome {
+    outcome_kind kind = outcome_kind::unknown;
+    std::uint16_t status = 0; ///< The target's HTTP status when `kind` is `ran`.
+    bool answer_kept = false; ///< False when the answer was too large to be kept for replays.
+    std::string content_type;
+    std::string body;
+};
+
+/// What the primary does with a request that reached it.
+enum class primary_step {
+    claim,       ///< Ask the witness; the key is now held by this request.
+    wait,        ///< Another copy of the request is in progress; wait for its outcome.
+    replay,      ///< The outcome is decided; answer it.
+    too_old,     ///< The key's epoch was forgotten: it may have run.
+    window_full, ///< No memory for the key in its epoch: it may have run before.
+};
+
+struct primary_answer {
+    primary_step step = primary_step::claim;
+    request_outcome const* outcome = nullptr; ///< Set for `replay`; valid until the next call.
+};
+
+/// What the witness answers to a claim.
+enum class claim_reply : std::uint8_t { granted, refused };
+
+/// Limits of a window; they bound its memory.
+struct claim_window_limits {
+    std::size_t max_keys = 200000;
+    key_epoch kept_epochs = 12;
+    std::size_t max_kept_body_bytes = 4096;
+};
+
+/// The keys that one instance decides on, as primary and as witness. Not thread-safe; no I/O, no clock.
+class claim_window {
+public:
+    claim_window(instance_id self, claim_window_limits limits);
+
+    /// @name As primary
+    /// @{
+
+    /// A request with `key` arrived. `claim` obliges the caller to end with exactly one of `refuse` or
+    /// `finish`.
+    [[nodiscard]] primary_answer begin(std::string_view key, key_epoch epoch);
+    /// The witness granted. Returns whether the request may be dispatched now; false after `refuse`.
+    [[nodiscard]] bool may_dispatch(std::string_view key);
+    /// The request was not dispatched and never will be: refused, timed out or shed. Returns the outcome
+    /// that stands, which differs when the key had been dispatched.
+    request_outcome refuse(std::string_view key, key_epoch epoch);
+    /// The dispatch ended with `outcome`; the first decided outcome stands.
+    void finish(std::string_view key, request_outcome outcome);
+    /// The decided outcome of a key, or nullptr.
+    [[nodiscard]] request_outcome const* outcome(std::string_view key) const;
+
+    /// @}
+    /// @name As witness
+    /// @{
+
+    /// The primary asks to dispatch.
+    [[nodiscard]] claim_reply grant(std::string_view key, key_epoch epoch);
+    /// The primary tells the outcome of a granted claim.
+    void learn(std::string_view key, key_epoch epoch, request_outcome outcome);
+    /// The primary cannot be asked: decides what a caller may be told, and fences the key when no claim for
+    /// it was granted.
+    [[nodiscard]] request_outcome resolve(std::string_view key, key_epoch epoch);
+
+    /// @}
+
+    /// Forgets every key of epochs before `now - kept_epochs`; such keys are refused for good from then on.
+    void advance(key_epoch now);
+
+    [[nodiscard]] std::size_t size() const noexcept { return m_primary.size() + m_witness.size(); }
+    [[nodiscard]] key_epoch oldest_epoch() const noexcept { return m_oldest; }
+    [[nodiscard]] instance_id self() const noexcept { return m_self; }
+
+private:
+    enum class primary_state : std::uint8_t { claiming, dispatched, decided };
+    enum class witness_state : std::uint8_t { claimed, fenced, decided };
+
+    struct primary_key {
+        primary_state state = primary_state::claiming;
+        request_outcome outcome;
+    };
+    struct witness_key {
+        witness_state state = witness_state::claimed;
+        request_outcome outcome;
+    };
+    struct epoch_keys {
+        std::vector<std::string> primary;
+        std::vector<std::string> witness;
+    };
+
+    [[nodiscard]] bool has_room(key_epoch epoch);
+    void forget_before(key_epoch oldest);
+    [[nodiscard]] request_outcome trimmed(request_outcome outcome) const;
+
+    instance_id m_self;
+    claim_window_limits m_limits;
+    key_epoch m_oldest = 0;
+    std::unordered_map<std::string, primary_key> m_primary;
+    std::unordered_map<std::string, witness_key> m_witness;
+    std::map<key_epoch, epoch_keys> m_epochs;
+};
+
+} // namespace pomelospread
--- /dev/null
+++ b/Libraries/Coordination/coordination/membership.cpp
@@ -0,0 +1,151 @@
+#include "coordination/membership.hpp"
+
+#include <algorithm>
+#include <iterator>
+
+namespace pomelospread {
+
+namespace {
+
+constexpr std::size_t max_remembered_dead = 4096;
+
+} // namespace
+
+std::string_view to_string(member_status status) noexcept {
+    switch (status) {
+    case member_status::alive:
+        return "alive";
+    case member_status::leaving:
+        return "leaving";
+    case member_status::suspect:
+        return "suspect";
+    case member_status::dead:
+        return "dead";
+    }
+    return "dead";
+}
+
+membership::membership(instance_entry self, membership_limits limits)
+    : m_self(std::move(self)), m_limits(limits) {}
+
+void membership::merge_list(std::span<instance_entry const> entries, time_point now) {
+    m_now = std::max(m_now, now);
+    for (auto const& entry : entries) {
+        if (entry.id == m_self.id || m_dead.contains(entry.id)) {
+            continue;
+        }
+        auto const [found, added] = m_members.try_emplace(entry.id, member{.entry = entry, .advanced = now});
+        if (!added) {
+            found->second.entry.leaving = found->second.entry.leaving || entry.leaving;
+        }
+    }
+}
+
+void membership::receive(gossip_message const& message, time_point now) {
+    m_now = std::max(m_now, now);
+    auto const& sender = message.sender;
+    if (sender.id != m_self.id && sender.id != 0) {
+        // A direct message proves the sender alive, whatever was concluded before.
+        m_dead.erase(sender.id);
+        auto& known = m_members[sender.id];
+        known.entry = sender;
+        known.advanced = now;
+        known.confirmed = true;
+        known.tables_version = std::max(known.tables_version, message.tables_version);
+    }
+    for (auto const& digest : message.digests) {
+        auto const found = m_members.find(digest.id);
+        if (found == m_members.end()) {
+            continue;
+        }
+        auto& known = found->second;
+        known.entry.leaving = known.entry.leaving || digest.leaving;
+        if (digest.heartbeat > known.heartbeat) {
+            known.heartbeat = digest.heartbeat;
+            known.advanced = now;
+            known.confirmed = true;
+        }
+    }
+}
+
+bool membership::tick(time_point now) {
+    ++m_heartbeat;
+    bool const paused = m_ticked && now - m_now > m_limits.pause_gap;
+    if (paused) {
+        for (auto& [id, known] : m_members) {
+            known.advanced = now;
+        }
+    }
+    m_now = std::max(m_now, now);
+    m_ticked = true;
+    forget_dead();
+    return paused;
+}
+
+gossip_message membership::compose(std::uint64_t tables_version, random_source& random) {
+    gossip_message message{.sender = m_self, .tables_version = tables_version, .digests = {}};
+    message.digests.push_back({.id = m_self.id, .heartbeat = m_heartbeat, .leaving = m_self.leaving});
+    std::vector<member_digest> known;
+    for (auto const& [id, value] : m_members) {
+        if (value.confirmed) {
+            known.push_back({.id = id, .heartbeat = value.heartbeat, .leaving = value.entry.leaving});
+        }
+    }
+    std::ranges::sample(known, std::back_inserter(message.digests),
+                        static_cast<std::ptrdiff_t>(m_limits.digests_per_message), random);
+    return message;
+}
+
+std::vector<instance_entry> membership::choose_receivers(random_source& random) const {
+    std::vector<instance_entry> candidates;
+    for (auto const& [id, value] : m_members) {
+        candidates.push_back(value.entry);
+    }
+    std::vector<instance_entry> chosen;
+    std::ranges::sample(candidates, std::back_inserter(chosen), static_cast<std::ptrdiff_t>(m_limits.fan_out),
+                        random);
+    return chosen;
+}
+
+std::vector<member_view> membership::view() const {
+    std::vector<member_view> result;
+    result.push_back({.entry = m_self,
+                      .status = m_self.leaving ? member_status::leaving : member_status::alive,
+                      .tables_version = 0});
+    for (auto const& [id, value] : m_members) {
+        auto const status = status_of(value);
+        if (status != member_status::dead) {
+            result.push_back(
+                {.entry = value.entry, .status = status, .tables_version = value.tables_version});
+        }
+    }
+    std::ranges::sort(result, {}, [](member_view const& seen) { return seen.entry.id; });
+    return result;
+}
+
+member_status membership::status_of(member const& value) const {
+    auto const silence = m_now - value.advanced;
+    if (silence > m_limits.dead_after) {
+        return member_status::dead;
+    }
+    if (silence > m_limits.suspect_after) {
+        return member_status::suspect;
+    }
+    return value.entry.leaving ? member_status::leaving : member_status::alive;
+}
+
+void membership::forget_dead() {
+    for (auto it = m_members.begin(); it != m_members.end();) {
+        if (status_of(it->second) != member_status::dead) {
+            ++it;
+            continue;
+        }
+        m_dead[it->first] = it->second.heartbeat;
+        it = m_members.erase(it);
+    }
+    while (m_dead.size() > max_remembered_dead) {
+        m_dead.erase(m_dead.begin());
+    }
+}
+
+} // namespace pomelospread
--- /dev/null
+++ b/Libraries/Coordination/coordination/placement.cpp
@@ -0,0 +1,121 @@
+#include "coordination/placement.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <set>
+
+namespace pomelospread {
+
+namespace {
+
+std::uint64_t rendezvous_weight(std::string_view pool, instance_id id) {
+    return XXH3_64bits_withSeed(pool.data(), pool.size(), id);
+}
+
+std::vector<instance_entry> with_status(std::span<member_view const> members, member_status status) {
+    std::vector<instance_entry> result;
+    for (auto const& member : members) {
+        if (member.status == status) {
+            result.push_back(member.entry);
+        }
+    }
+    return result;
+}
+
+std::vector<instance_entry> candidates(std::span<member_view const> members) {
+    for (auto const status : {member_status::alive, member_status::suspect, member_status::leaving}) {
+        if (auto found = with_status(members, status); !found.empty()) {
+            return found;
+        }
+    }
+    return {};
+}
+
+/// Every candidate in order of preference: one of each zone in turn, by weight within a zone.
+std::vector<instance_entry> ranked(std::string_view pool, std::vector<instance_entry> pending) {
+    std::ranges::sort(pending, [&](auto const& left, auto const& right) {
+        return std::pair(rendezvous_weight(pool, left.id), left.id) >
+               std::pair(rendezvous_weight(pool, right.id), right.id);
+    });
+    std::vector<instance_entry> result;
+    while (!pending.empty()) {
+        std::set<std::string> zones;
+        std::vector<instance_entry> later;
+        for (auto& entry : pending) {
+            if (zones.insert(entry.zone).second) {
+                result.push_back(std::move(entry));
+            } else {
+                later.push_back(std::move(entry));
+            }
+        }
+        pending = std::move(later);
+    }
+    return result;
+}
+
+bool contains(std::span<instance_entry const> entries, instance_id id) {
+    return std::ranges::any_of(entries, [&](auto const& entry) { return entry.id == id; });
+}
+
+instance_id choose_witness(instance_entry const& primary, std::span<instance_entry const> order) {
+    auto const elsewhere = std::ranges::find_if(
+        order, [&](auto const& entry) { return entry.id != primary.id && entry.zone != primary.zone; });
+    if (elsewhere != order.end()) {
+        return elsewhere->id;
+    }
+    auto const other = std::ranges::find_if(order, [&](auto const& entry) { return entry.id != primary.id; });
+    return other == order.end() ? 0 : other->id;
+}
+
+std::chrono::milliseconds staggered(placement_limits const& limits, random_source& random) {
+    std::uniform_real_distribution<double> share(1.0 - limits.keep_stagger, 1.0);
+    auto const milliseconds = static_cast<double>(limits.keep_for.count()) * share(random);
+    return std::chrono::milliseconds(static_cast<std::int64_t>(milliseconds));
+}
+
+} // namespace
+
+std::vector<instance_entry> home_instances(std::string_view pool, std::size_t count,
+                                           std::span<member_view const> members) {
+    auto order = ranked(pool, candidates(members));
+    order.resize(std::min(order.size(), count));
+    return order;
+}
+
+std::vector<instance_entry> partners(instance_entry const& self, pool_row const& pool,
+                                     std::span<member_view const> members) {
+    auto order = ranked(pool.name, with_status(members, member_status::alive));
+    std::erase_if(order, [&](auto const& entry) { return entry.id == self.id; });
+    std::ranges::stable_partition(order, [&](auto const& entry) { return entry.zone != self.zone; });
+    return order;
+}
+
+std::optional<address_answer> place_caller(pool_row const& pool, std::string_view caller_zone,
+                                           std::span<member_view const> members, key_epoch epoch,
+                                           placement_limits const& limits, random_source& random) {
+    auto const order = ranked(pool.name, candidates(members));
+    if (order.empty()) {
+        return std::nullopt;
+    }
+    auto const home_count = std::min(order.size(), static_cast<std::size_t>(pool.homes));
+    auto homes = std::vector(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(home_count));
+    std::ranges::shuffle(homes, random);
+    auto const in_zone =
+        std::ranges::stable_partition(homes, [&](auto const& entry) { return entry.zone == caller_zone; });
+    address_answer answer;
+    answer.reason = in_zone.begin() != homes.begin() ? "home_in_caller_zone" : "home_in_other_zone";
+    answer.prefix = {
+        .primary = homes.front().id, .witness = choose_witness(homes.front(), order), .epoch = epoch};
+    answer.keep_for = staggered(limits, random);
+    answer.addresses = homes;
+    for (auto const& entry : order) {
+        if (!contains(answer.addresses, entry.id)) {
+            answer.addresses.push_back(entry);
+        }
+    }
+    answer.addresses.resize(std::min(answer.addresses.size(), limits.max_addresses));
+    return answer;
+}
+
+} // namespace pomelospread
--- /dev/null
+++ b/Libraries/Coordination/coordination/table_store.cpp
@@ -0,0 +1,164 @@
+#include "coordination/table_store.hpp"
+
+#include "state/tables_merge.hpp"
+#include "state/tables_toml.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <cstdio>
+
+namespace pomelospread {
+
+namespace {
+
+constexpr std::string_view current_key = "tables/current";
+constexpr std::size_t max_apply_attempts = 16;
+constexpr std::size_t max_resolve_attempts = 5;
+
+std::string history_key(std::uint64_t version) {
+    std::array<char, 48> text{};
+    std::snprintf(text.data(), text.size(), "tables/history/%012llu",
+                  static_cast<unsigned long long>(version));
+    return text.data();
+}
+
+std::string edit_key(std::string_view edit_id) {
+    return "tables/edits/" + std::string(edit_id);
+}
+
+} // namespace
+
+std::string encode_edit(accepted_edit const& edit) {
+    nlohmann::json const document{{"version", edit.version},
+                                  {"edit_id", edit.edit_id},
+                                  {"author", edit.author},
+                                  {"accepted_unix_ms", edit.accepted_unix_ms},
+                                  {"routes", write_routes(edit.content)},
+                                  {"pools", write_pools(edit.content)}};
+    return document.dump();
+}
+
+accepted_edit decode_edit(std::string_view text) {
+    try {
+        auto const document = nlohmann::json::parse(text);
+        accepted_edit edit;
+        edit.version = document.at("version").get<std::uint64_t>();
+        edit.edit_id = document.at("edit_id").get<std::string>();
+        edit.author = document.at("author").get<std::string>();
+        edit.accepted_unix_ms = document.at("accepted_unix_ms").get<std::int64_t>();
+        edit.content = read_tables({"stored routes", document.at("routes").get<std::string>()},
+                                   {"stored pools", document.at("pools").get<std::string>()});
+        edit.content.version = edit.version;
+        return edit;
+    } catch (nlohmann::json::exception const& failure) {
+        throw malformed_message(std::string("stored tables cannot be read: ") + failure.what());
+    } catch (invalid_input const& failure) {
+        throw malformed_message(std::string("stored tables cannot be read: ") + failure.what());
+    }
+}
+
+accepted_edit table_store::current() const {
+    return read_cell(current_key);
+}
+
+accepted_edit table_store::at(std::uint64_t version) const {
+    if (version == 0) {
+        return {};
+    }
+    auto edit = read_cell(history_key(version));
+    if (edit.version != version) {
+        throw invalid_input({{.field = "version",
+                              .problem = std::to_string(version) + " was never accepted",
+                              .allowed = "a version that `history` lists"}});
+    }
+    return edit;
+}
+
+std::vector<accepted_edit> table_store::history(std::size_t count) const {
+    std::vector<accepted_edit> result;
+    auto version = current().version;
+    while (version > 0 && result.size() < count) {
+        result.push_back(at(version--));
+    }
+    return result;
+}
+
+std::optional<std::uint64_t> table_store::version_of(std::string_view edit_id) const {
+    auto const cell = m_service.read(edit_key(edit_id));
+    if (cell.version == 0) {
+        return std::nullopt;
+    }
+    return std::stoull(cell.value);
+}
+
+edit_result table_store::apply(tables const& declared, std::uint64_t base, std::string_view edit_id,
+                               std::string_view author, std::int64_t now_unix_ms) {
+    require_valid(declared);
+    if (auto const version = version_of(edit_id); version) {
+        return {.edit = at(*version), .unchanged = false};
+    }
+    auto const base_tables = at(base).content;
+    for (std::size_t attempt = 0; attempt < max_apply_attempts; ++attempt) {
+        auto const in_force = current();
+        auto merged = merge_tables(base_tables, declared, in_force.content);
+        if (difference(in_force.content, merged).empty()) {
+            return {.edit = in_force, .unchanged = true};
+        }
+        accepted_edit edit{.version = in_force.version + 1,
+                           .edit_id = std::string(edit_id),
+                           .author = std::string(author),
+                           .accepted_unix_ms = now_unix_ms,
+                           .content = std::move(merged)};
+        edit.content.version = edit.version;
+        if (commit(edit) == commit_result::accepted) {
+            return {.edit = std::move(edit), .unchanged = false};
+        }
+    }
+    throw version_conflict("other operators' edits kept coming first; nothing was changed");
+}
+
+accepted_edit table_store::read_cell(std::string_view key) const {
+    auto const cell = m_service.read(key);
+    return cell.version == 0 ? accepted_edit{} : decode_edit(cell.value);
+}
+
+table_store::commit_result table_store::commit(accepted_edit const& edit) {
+    // The cell's own version counts the writes to it, so it equals the tables' version.
+    std::array const conditions{table_condition{std::string(current_key), edit.version - 1},
+                                table_condition{edit_key(edit.edit_id), 0}};
+    auto const text = encode_edit(edit);
+    std::array const writes{table_write{std::string(current_key), text},
+                            table_write{history_key(edit.version), text},
+                            table_write{edit_key(edit.edit_id), std::to_string(edit.version)}};
+    try {
+        m_service.transact(conditions, writes);
+        return commit_result::accepted;
+    } catch (version_conflict const&) {
+        return resolve(edit);
+    } catch (platform_outcome_unknown const&) {
+        return resolve(edit);
+    }
+}
+
+table_store::commit_result table_store::resolve(accepted_edit const& edit) {
+    for (std::size_t attempt = 0; attempt < max_resolve_attempts; ++attempt) {
+        try {
+            // A late transaction can still take effect while the current version is the one it is based on.
+            if (version_of(edit.edit_id)) {
+                return commit_result::accepted;
+            }
+            if (current().version >= edit.version) {
+                return version_of(edit.edit_id) ? commit_result::accepted : commit_result::raced;
+            }
+            return commit_result::raced;
+        } catch (platform_unavailable const&) {
+            continue;
+        }
+    }
+    throw platform_outcome_unknown(
+        "edit " + edit.edit_id +
+        ": the platform's answer was lost; it is not yet known whether it was accepted");
+}
+
+} // namespace pomelospread
--- /dev/null
+++ b/Libraries/Coordination/coordination/table_store.hpp
@@ -0,0 +1,66 @@
+// The versions of both tables in the platform's table service: conditional edits, each with an id.
+#pragma once
+
+#include "coordination/platform.hpp"
+#include "state/tables.hpp"
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace pomelospread {
+
+/// An accepted version as it stands in the history.
+struct accepted_edit {
+    std::uint64_t version = 0;
+    std::string edit_id;
+    std::string author;
+    std::int64_t accepted_unix_ms = 0;
+    tables content;
+};
+
+/// Renders an accepted version as a table service value, and reads it back.
+/// `decode_edit` throws `malformed_message` for anything else.
+[[nodiscard]] std::string encode_edit(accepted_edit const& edit);
+[[nodiscard]] accepted_edit decode_edit(std::string_view text);
+
+/// What became of a proposed edit.
+struct edit_result {
+    accepted_edit edit;
+    bool unchanged = false; ///< The declared tables were in force already; nothing was written.
+};
+
+/// Reads and edits the tables through any table service. As thread-safe as the table service.
+class table_store {
+public:
+    explicit table_store(table_service& service) : m_service(service) {}
+
+    /// The version in force; version 0 with empty tables before the first edit.
+    [[nodiscard]] accepted_edit current() const;
+    /// A version of the history. Throws `invalid_input` naming `version` when there is none.
+    [[nodiscard]] accepted_edit at(std::uint64_t version) const;
+    /// Up to `count` accepted versions, the newest first.
+    [[nodiscard]] std::vector<accepted_edit> history(std::size_t count) const;
+    /// The version that the edit with this id became, if it was accepted.
+    [[nodiscard]] std::optional<std::uint64_t> version_of(std::string_view edit_id) const;
+
+    /// Merges `declared`, which was based on version `base`, into the version in force and commits it.
+    /// A racing edit is merged again; a lost answer is resolved by reading the edit's id back.
+    /// Throws `merge_conflict`, `invalid_input`, `platform_unavailable` (nothing was changed) or
+    /// `platform_outcome_unknown` (ask `version_of` later).
+    edit_result apply(tables const& declared, std::uint64_t base, std::string_view edit_id,
+                      std::string_view author, std::int64_t now_unix_ms);
+
+private:
+    enum class commit_result : std::uint8_t { accepted, raced };
+
+    [[nodiscard]] accepted_edit read_cell(std::string_view key) const;
+    commit_result commit(accepted_edit const& edit);
+    commit_result resolve(accepted_edit const& edit);
+
+    table_service& m_service;
+};
+
+} // namespace pomelospread
--- /dev/null
+++ b/Libraries/Coordination/coordination/target_pool.cpp
@@ -0,0 +1,261 @@
+#include "coordination/target_pool.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pomelospread {
+
+namespace {
+
+/// Score units per request in flight; the finer units order targets of equal load.
+constexpr std::uint32_t load_unit = 64;
+constexpr std::uint32_t overdue_penalty = 3 * load_unit;
+constexpr std::uint32_t foreign_share_penalty = 8;
+constexpr std::uint32_t foreign_zone_penalty = 4;
+constexpr std::int64_t never_warmed = -1;
+constexpr double quantile_step = 0.05;
+
+} // namespace
+
+std::string_view to_string(choice_reason reason) noexcept {
+    switch (reason) {
+    case choice_reason::least_in_flight:
+        return "least_in_flight";
+    case choice_reason::own_share:
+        return "own_share";
+    case choice_reason::same_zone:
+        return "same_zone";
+    case choice_reason::random_tie:
+        return "random_tie";
+    case choice_reason::only_overdue:
+        return "only_overdue";
+    }
+    return "least_in_flight";
+}
+
+void quantile_estimate::observe(nanoseconds latency) noexcept {
+    auto const estimate = m_estimate.load(std::memory_order_relaxed);
+    if (estimate == 0) {
+        m_estimate.store(latency.count(), std::memory_order_relaxed);
+        return;
+    }
+    auto const step = static_cast<double>(estimate) * quantile_step;
+    bool const above = latency.count() > estimate;
+    auto const change = above ? step * m_quantile : -step * (1.0 - m_quantile);
+    m_estimate.store(std::max<std::int64_t>(1, estimate + static_cast<std::int64_t>(change)),
+                     std::memory_order_relaxed);
+}
+
+target_pool::target_pool(pool_row const& row, std::string_view own_zone, target_policy policy,
+                         nanoseconds now, target_pool const* previous)
+    : m_row(row), m_policy(policy),
+      m_places(static_cast<std::uint32_t>(
+          std::clamp<std::int64_t>(row.slots_per_target + policy.queue_places, 1, std::int64_t{max_places}))),
+      m_targets(row.targets.size()), m_memory(std::make_shared<pool_memory>(policy)) {
+    if (previous != nullptr) {
+        adopt(*previous);
+    }
+    for (std::size_t i = 0; i < row.targets.size(); ++i) {
+        m_own_zone.push_back(row.targets[i].zone == own_zone ? 1 : 0);
+        if (m_targets[i] == nullptr) {
+            m_targets[i] = std::make_shared<target_state>();
+            bool const joins_others = policy.slow_start && previous != nullptr;
+            m_targets[i]->warm_since = joins_others ? now.count() : never_warmed;
+        }
+        m_targets[i]->leaving_until = row.targets[i].leaving ? leaving_by_table : 0;
+    }
+}
+
+void target_pool::adopt(target_pool const& previous) {
+    m_memory = previous.m_memory;
+    m_home_rank = previous.m_home_rank.load();
+    for (std::size_t i = 0; i < m_row.targets.size(); ++i) {
+        auto const same =
+            std::ranges::find(previous.m_row.targets, m_row.targets[i].address, &target_row::address);
+        if (same != previous.m_row.targets.end()) {
+            m_targets[i] =
+                previous.m_targets[static_cast<std::size_t>(same - previous.m_row.targets.begin())];
+        }
+    }
+}
+
+std::optional<target_ticket> target_pool::try_start(nanoseconds now, random_source& random,
+                                                    std::optional<std::uint32_t> excluded) {
+    // Each failed take means that another thread took a place, so the loop makes progress as a whole.
+    for (std::size_t attempt = 0; attempt < 2 * max_places; ++attempt) {
+        auto chosen = best_candidate(now, random, excluded, false);
+        if (!chosen) {
+            chosen = best_candidate(now, random, excluded, true);
+        }
+        if (!chosen) {
+            return std::nullopt;
+        }
+        if (auto const place = take_place(*m_targets[chosen->target], now); place) {
+            return target_ticket{
+                .target = chosen->target, .place = *place, .started = now, .reason = chosen->reason};
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<target_pool::candidate> target_pool::best_candidate(nanoseconds now, random_source& random,
+                                                                  std::optional<std::uint32_t> excluded,
+                                                                  bool ignore_ejection) const {
+    std::optional<candidate> best;
+    std::uint32_t ties = 0;
+    for (std::uint32_t i = 0; i < m_targets.size(); ++i) {
+        auto const& target = *m_targets[i];
+        if (i == excluded || target.leaving_until.load(std::memory_order_relaxed) > now.count()) {
+            continue;
+        }
+        if (!ignore_ejection && target.ejected_until.load(std::memory_order_relaxed) > now.count()) {
+            continue;
+        }
+        auto const peers = m_policy.peer_counts ? target.peer_in_flight.load(std::memory_order_relaxed) : 0;
+        auto const load = target.own_in_flight.load(std::memory_order_relaxed) + peers;
+        if (load >= capacity(target, now) || (best && load * load_unit > best->score)) {
+            continue;
+        }
+        auto const value = score(i, now, load);
+        if (!best || value < best->score) {
+            best = candidate{.target = i, .score = value};
+            ties = 1;
+            continue;
+        }
+        // Reservoir sampling gives each of the tied targets the same chance.
+        if (value == best->score && random() % ++ties == 0) {
+            best->target = i;
+        }
+    }
+    if (best) {
+        best->reason = ties > 1 ? choice_reason::random_tie : choice_reason::least_in_flight;
+    }
+    return best;
+}
+
+std::uint32_t target_pool::score(std::uint32_t index, nanoseconds now, std::uint32_t load) const {
+    auto value = load * load_unit;
+    if (m_policy.straggler_avoidance) {
+        value += overdue(*m_targets[index], now) * overdue_penalty;
+    }
+    auto const packed = m_home_rank.load(std::memory_order_relaxed);
+    auto const homes = static_cast<std::uint32_t>(packed);
+    if (m_policy.home_share && homes > 1 && index % homes != static_cast<std::uint32_t>(packed >> 32U)) {
+        value += foreign_share_penalty;
+    }
+    if (m_policy.zone_preference && m_own_zone[index] == 0) {
+        value += foreign_zone_penalty;
+    }
+    return value;
+}
+
+std::uint32_t target_pool::capacity(target_state const& target, nanoseconds now) const noexcept {
+    auto const warm_since = target.warm_since.load(std::memory_order_relaxed);
+    auto const age = now.count() - warm_since;
+    if (warm_since == never_warmed || age >= m_policy.warm_up_time.count()) {
+        return m_places;
+    }
+    auto const share = static_cast<double>(age) / static_cast<double>(m_policy.warm_up_time.count());
+    return std::clamp(static_cast<std::uint32_t>(std::ceil(share * m_places)), 1U, m_places);
+}
+
+std::uint32_t target_pool::overdue(target_state const& target, nanoseconds now) const noexcept {
+    if (target.own_in_flight.load(std::memory_order_relaxed) == 0) {
+        return 0;
+    }
+    auto const usual = static_cast<double>(m_memory->usual.value().count());
+    if (usual == 0) {
+        return 0;
+    }
+    auto const limit = now.count() - static_cast<std::int64_t>(usual * m_policy.overdue_factor);
+    std::uint32_t count = 0;
+    for (std::uint32_t place = 0; place < m_places; ++place) {
+        auto const started = target.started[place].load(std::memory_order_relaxed);
+        if (started != free_place && started < limit) {
+            ++count;
+        }
+    }
+    return count;
+}
+
+std::optional<std::uint32_t> target_pool::take_place(target_state& target, nanoseconds now) noexcept {
+    for (std::uint32_t place = 0; place < m_places; ++place) {
+        auto expected = free_place;
+        if (target.started[place].compare_exchange_strong(expected, std::max<std::int64_t>(1, now.count()),
+                                                          std::memory_order_acq_rel)) {
+            target.own_in_flight.fetch_add(1, std::memory_order_relaxed);
+            return place;
+        }
+    }
+    return std::nullopt;
+}
+
+void target_pool::finish(target_ticket const& ticket, nanoseconds now, exchange_result result) noexcept {
+    auto& target = *m_targets[ticket.target];
+    target.own_in_flight.fetch_sub(1, std::memory_order_relaxed);
+    target.started[ticket.place].store(free_place, std::memory_order_release);
+    auto const latency = now - ticket.started;
+    switch (result) {
+    case exchange_result::answered:
+        m_memory->usual.observe(latency);
+        m_memory->slow.observe(latency);
+        target.failures.store(0, std::memory_order_relaxed);
+        break;
+    case exchange_result::failed:
+        learn_failure(target, now);
+        break;
+    case exchange_result::cancelled:
+        // A cancelled request took at least this long; ignoring it would hide the straggler.
+        m_memory->slow.observe(latency);
+        break;
+    case exchange_result::shed:
+        break;
+    }
+}
+
+void target_pool::learn_failure(target_state& target, nanoseconds now) noexcept {
+    auto const failures = target.failures.fetch_add(1, std::memory_order_relaxed) + 1;
+    if (!m_policy.outlier_ejection || failures < m_policy.failures_to_eject || !may_eject(now)) {
+        return;
+    }
+    target.ejected_until.store((now + m_policy.ejection_time).count(), std::memory_order_relaxed);
+    target.failures.store(0, std::memory_order_relaxed);
+    if (m_policy.slow_start) {
+        target.warm_since.store((now + m_policy.ejection_time).count(), std::memory_order_relaxed);
+    }
+}
+
+bool target_pool::may_eject(nanoseconds now) const noexcept {
+    auto const resting = std::ranges::count_if(m_targets, [&](auto const& target) {
+        return target->ejected_until.load(std::memory_order_relaxed) > now.count();
+    });
+    return 2 * (static_cast<std::size_t>(resting) + 1) <= m_targets.size();
+}
+
+void target_pool::set_peer_in_flight(std::uint32_t target, std::uint32_t in_flight) noexcept {
+    m_targets[target]->peer_in_flight.store(in_flight, std::memory_order_relaxed);
+}
+
+void target_pool::set_home_rank(home_rank rank) noexcept {
+    m_home_rank.store((std::uint64_t{rank.rank} << 32U) | std::max(1U, rank.homes),
+                      std::memory_order_relaxed);
+}
+
+void target_pool::set_leaving(std::uint32_t target, nanoseconds until) noexcept {
+    auto& known = m_targets[target]->leaving_until;
+    known.store(std::max(known.load(std::memory_order_relaxed), until.count()), std::memory_order_relaxed);
+}
+
+bool target_pool::is_leaving(std::uint32_t target, nanoseconds now) const noexcept {
+    return m_targets[target]->leaving_until.load(std::memory_order_relaxed) > now.count();
+}
+
+nanoseconds target_pool::hedge_delay() const noexcept {
+    return m_memory->slow.value();
+}
+
+std::uint32_t target_pool::in_flight(std::uint32_t target) const noexcept {
+    return m_targets[target]->own_in_flight.load(std::memory_order_relaxed);
+}
+
+} // namespace pomelospread
--- /dev/null
+++ b/Libraries/Coordination/coordination/target_pool.hpp
@@ -0,0 +1,173 @@
+// Chooses the target of each request from one instance's knowledge of a pool.
+//
+// The request path takes no lock and allocates nothing: a request claims one of a target's admission places
+// by a compare-and-swap. Time and random numbers are passed in, so the same code runs in the entry instance
+// and in virtual time in the benches.
+#pragma once
+
+#include "base/random.hpp"
+#include "coordination/ratio_budget.hpp"
+#include "state/tables.hpp"
+
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string_view>
+#include <vector>
+
+namespace pomelospread {
+
+/// Time since an arbitrary start, in nanoseconds.
+using nanoseconds = std::chrono::nanoseconds;
+
+/// Each switch turns one part of the policy off, so that its worth can be measured.
+struct target_policy {
+    bool straggler_avoidance = true; ///< Prefer targets without overdue requests.
+    bool peer_counts = true;         ///< Use the in-flight counts that other homes tell.
+    bool home_share = true;          ///< Break ties by this instance's own share of the targets.
+    bool outlier_ejection = true;    ///< Rest targets that fail, never more than half of the pool.
+    bool slow_start = true;          ///< Raise a new or returning target's share slowly.
+    bool zone_preference = true;     ///< Break remaining ties by availability zone.
+    double overdue_factor = 3.0;     ///< A request is overdue after this multiple of the usual latency.
+    std::int64_t queue_places = 1;   ///< Requests admitted per target beyond its slots.
+    double hedge_quantile = 0.95;
+    double hedge_share = 0.02;
+    double retry_share = 0.1;
+    nanoseconds ejection_time{std::chrono::seconds(2)};
+    nanoseconds warm_up_time{std::chrono::seconds(5)};
+    std::uint32_t failures_to_eject = 3;
+};
+
+/// How a request at a target ended.
+enum class exchange_result : std::uint8_t {
+    answered,  ///< A complete answer, of whatever status below 500.
+    failed,    ///< A 5xx answer or a broken exchange.
+    shed,      ///< The target refused before it started.
+    cancelled, ///< This side gave up, for example the loser of a hedge.
+};
+
+/// Why a target was chosen, for the log line.
+enum class choice_reason : std::uint8_t { least_in_flight, own_share, same_zone, random_tie, only_overdue };
+
+[[nodiscard]] std::string_view to_string(choice_reason reason) noexcept;
+
+/// The right to send one request to one target; give it back with `target_pool::finish`.
+struct target_ticket {
+    std::uint32_t target = 0;
+    std::uint32_t place = 0;
+    nanoseconds started{};
+    choice_reason reason = choice_reason::least_in_flight;
+};
+
+/// Tracks a latency quantile by fixed steps (Ma, Muthukrishnan and Sandler, "Frugal streaming for estimating
+/// quantiles", 2013), scaled to the estimate. Thread-safe and lock-free; a lost update costs one step.
+class quantile_estimate {
+public:
+    explicit quantile_estimate(double quantile) noexcept : m_quantile(quantile) {}
+
+    void observe(nanoseconds latency) noexcept;
+    /// Zero until the first observation.
+    [[nodiscard]] nanoseconds value() const noexcept {
+        return nanoseconds(m_estimate.load(std::memory_order_relaxed));
+    }
+
+private:
+    double m_quantile;
+    std::atomic<std::int64_t> m_estimate{0};
+};
+
+/// One instance's state of one pool. `try_start` and `finish` are thread-safe and lock-free.
+class target_pool {
+public:
+    static constexpr std::size_t max_places = 64;
+
+    /// `own_share` tells this instance's rank among the pool's homes and how many there are.
+    struct home_rank {
+        std::uint32_t rank = 0;
+        std::uint32_t homes = 1;
+    };
+
+    /// `previous` is this pool's object under the tables in force before, or nullptr. A target that stays
+    /// keeps its state and its requests in flight; one that is new beside others is warmed slowly.
+    target_pool(pool_row const& row, std::string_view own_zone, target_policy policy, nanoseconds now,
+                target_pool const* previous = nullptr);
+
+    /// Chooses a target with a free place and takes the place; nothing when every target is full.
+    /// `excluded` is skipped, for retries and hedges.
+    [[nodiscard]] std::optional<target_ticket>
+    try_start(nanoseconds now, random_source& random, std::optional<std::uint32_t> excluded = std::nullopt);
+    /// Gives the place back and learns from the result.
+    void finish(target_ticket const& ticket, nanoseconds now, exchange_result result) noexcept;
+
+    /// Another home tells how many requests it has in flight at a target.
+    void set_peer_in_flight(std::uint32_t target, std::uint32_t in_flight) noexcept;
+    void set_home_rank(home_rank rank) noexcept;
+    /// The target announced that it leaves; it gets nothing new until `until`, also when others are full.
+    void set_leaving(std::uint32_t target, nanoseconds until) noexcept;
+    [[nodiscard]] bool is_leaving(std::uint32_t target, nanoseconds now) const noexcept;
+
+    /// When to send a second copy of an idempotent request; zero while nothing is known.
+    [[nodiscard]] nanoseconds hedge_delay() const noexcept;
+    [[nodiscard]] ratio_budget& hedge_budget() noexcept { return m_memory->hedge_budget; }
+    [[nodiscard]] ratio_budget& retry_budget() noexcept { return m_memory->retry_budget; }
+
+    [[nodiscard]] std::size_t size() const noexcept { return m_targets.size(); }
+    [[nodiscard]] std::uint32_t in_flight(std::uint32_t target) const noexcept;
+    [[nodiscard]] pool_row const& row() const noexcept { return m_row; }
+    [[nodiscard]] std::span<std::uint8_t const> is_in_own_zone() const noexcept { return m_own_zone; }
+
+private:
+    static constexpr std::int64_t free_place = 0;
+    static constexpr std::int64_t leaving_by_table = INT64_MAX;
+    static constexpr double budget_burst = 10.0;
+
+    struct alignas(64) target_state {
+        std::atomic<std::uint32_t> own_in_flight{0};
+        std::atomic<std::uint32_t> peer_in_flight{0};
+        std::atomic<std::uint32_t> failures{0};
+        std::atomic<std::int64_t> leaving_until{0};
+        std::atomic<std::int64_t> ejected_until{0};
+        std::atomic<std::int64_t> warm_since{0};
+        std::array<std::atomic<std::int64_t>, max_places> started{}; ///< Start of each place; 0 is free.
+    };
+    struct pool_memory {
+        explicit pool_memory(target_policy const& policy)
+            : slow(policy.hedge_quantile), hedge_budget(policy.hedge_share, budget_burst),
+              retry_budget(policy.retry_share, budget_burst) {}
+        quantile_estimate usual{0.5};
+        quantile_estimate slow;
+        ratio_budget hedge_budget;
+        ratio_budget retry_budget;
+    };
+
+    struct candidate {
+        std::uint32_t target = 0;
+        std::uint32_t score = 0;
+        choice_reason reason = choice_reason::least_in_flight;
+    };
+
+    [[nodiscard]] std::optional<candidate> best_candidate(nanoseconds now, random_source& random,
+                                                          std::optional<std::uint32_t> excluded,
+                                                          bool ignore_ejection) const;
+    [[nodiscard]] std::uint32_t score(std::uint32_t index, nanoseconds now, std::uint32_t load) const;
+    [[nodiscard]] std::uint32_t capacity(target_state const& target, nanoseconds now) const noexcept;
+    [[nodiscard]] std::uint32_t overdue(target_state const& target, nanoseconds now) const noexcept;
+    [[nodiscard]] std::optional<std::uint32_t> take_place(target_state& target, nanoseconds now) noexcept;
+    void learn_failure(target_state& target, nanoseconds now) noexcept;
+    [[nodiscard]] bool may_eject(nanoseconds now) const noexcept;
+    void adopt(target_pool const& previous);
+
+    pool_row m_row;
+    target_policy m_policy;
+    std::uint32_t m_places;
+    std::vector<std::shared_ptr<target_state>> m_targets;
+    std::vector<std::uint8_t> m_own_zone;
+    std::atomic<std::uint64_t> m_home_rank{1};
+    std::shared_ptr<pool_memory> m_memory;
+};
+
+} // namespace pomelospread
--- /dev/null
+++ b/Libraries/Entry/entry/account_keeper.cpp
@@ -0,0 +1,96 @@
+#include "entry/account_keeper.hpp"
+
+#include "base/log.hpp"
+
+namespace pomelospread {
+
+std::optional<std::uint64_t> account_keeper::append(account_record const& record) {
+    std::lock_guard const lock(m_mutex);
+    return m_journal.append(record);
+}
+
+void account_keeper::complete(std::uint64_t sequence, account_record const& record) {
+    std::lock_guard const lock(m_mutex);
+    m_journal.complete(sequence, record);
+}
+
+bool account_keeper::keep_copy(instance_id owner, std::uint64_t sequence, account_record record) {
+    std::lock_guard const lock(m_mutex);
+    return m_journal.keep_copy(owner, sequence, std::move(record));
+}
+
+void account_keeper::drop_copies(instance_id owner, std::uint64_t through) {
+    std::lock_guard const lock(m_mutex);
+    m_journal.drop_copies(owner, through);
+}
+
+std::size_t account_keeper::size() {
+    std::lock_guard const lock(m_mutex);
+    return m_journal.size();
+}
+
+bool account_keeper::flush(object_store& store, std::set<instance_id> const& alive, bool final) {
+    bool const done = store_own(store, final);
+    store_orphans(store, alive);
+    return done;
+}
+
+bool account_keeper::store_own(object_store& store, bool final) {
+    for (;;) {
+        std::optional<account_segment> segment;
+        {
+            std::lock_guard const lock(m_mutex);
+            segment = m_journal.next_segment(max_segment_records, final);
+        }
+        if (!segment) {
+            return true;
+        }
+        // A retry after a lost answer may hold later outcomes and more records; the export merges both.
+        if (!put(store, *segment)) {
+            return false;
+        }
+        std::lock_guard const lock(m_mutex);
+        m_journal.stored(segment->last_sequence);
+        m_stored_through = m_journal.stored_through();
+        if (segment->final) {
+            return true;
+        }
+    }
+}
+
+void account_keeper::store_orphans(object_store& store, std::set<instance_id> const& alive) {
+    std::vector<instance_id> owners;
+    {
+        std::lock_guard const lock(m_mutex);
+        owners = m_journal.owners();
+    }
+    for (auto const owner : owners) {
+        if (alive.contains(owner)) {
+            continue;
+        }
+        std::optional<account_segment> segment;
+        {
+            std::lock_guard const lock(m_mutex);
+            segment = m_journal.orphans(owner);
+        }
+        if (!segment || !put(store, *segment)) {
+            continue;
+        }
+        m_metrics.add(counter::segments_recovered);
+        drop_copies(owner, segment->last_sequence);
+    }
+}
+
+bool account_keeper::put(object_store& store, account_segment const& segment) {
+    try {
+        store.put(segment_name(segment), encode_segment(segment));
+        m_metrics.add(counter::segments_stored);
+        return true;
+    } catch (error const& failure) {
+        m_metrics.add(counter::segment_failures);
+        log_line(log_level::warning, "segment_not_stored").field("reason", failure.what()).write();
+        return false;
+    }
+}
+
+} // namespace pomelospread
--- /dev/null
+++ b/Libraries/Entry/entry/claim_service.cpp
@@ -0,0 +1,296 @@
+#include "entry/claim_service.hpp"
+
+#include "base/log.hpp"
+#include "base/random.hpp"
+#include "protocol/json_codec.hpp"
+
+#include <boost/fiber/operations.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace pomelospread {
+
+namespace {
+
+constexpr std::size_t max_idle_relays = 8;
+constexpr auto max_relay_idle_time = std::chrono::milliseconds(500);
+constexpr auto outcome_poll = std::chrono::milliseconds(2);
+constexpr auto relay_connect_timeout = std::chrono::milliseconds(300);
+constexpr key_epoch tolerated_future_epochs = 2;
+/// Asks the receiver, as witness, to decide without the primary.
+constexpr std::string_view resolve_purpose = "resolve";
+constexpr std::string_view forward_purpose = "forward";
+
+key_epoch current_epoch() {
+    return epoch_at(std::chrono::system_clock::now());
+}
+
+void log_claim(request_context const& context, std::string_view step, std::string_view reason) {
+    log_line(log_level::info, "claim")
+        .field("request", context.record.id)
+        .field("key", context.key)
+        .field("step", step)
+        .field("reason", reason)
+        .write();
+}
+
+request_outcome outcome_of(request_result const& result) {
+    request_outcome outcome{.kind = result.kind};
+    if (result.kind == outcome_kind::ran) {
+        outcome.status = static_cast<std::uint16_t>(result.response.result_int());
+        outcome.content_type = std::string(field_of(result.response, "Content-Type"));
+        outcome.body = result.response.body();
+    }
+    return outcome;
+}
+
+outcome_kind kind_from_text(std::string_view text) {
+    if (text == "ran") {
+        return outcome_kind::ran;
+    }
+    return text == "not-run" ? outcome_kind::not_run : outcome_kind::unknown;
+}
+
+} // namespace
+
+request_result replay_result(request_outcome const& outcome) {
+    if (outcome.kind != outcome_kind::ran) {
+        return failed_result(outcome.kind, "decided before");
+    }
+    if (!outcome.answer_kept) {
+        auto result = failed_result(outcome_kind::ran, "ran before; its answer was too large to be kept");
+        result.response.result(200);
+        return result;
+    }
+    return {.kind = outcome_kind::ran,
+            .response = make_response(outcome.status, outcome.content_type, outcome.body),
+            .reason = "replayed"};
+}
+
+claim_service::claim_service(io_thread& thread, shared_parts& shared, peer_links& links,
+                             pool_dispatcher& dispatcher)
+    : m_thread(thread), m_shared(shared), m_links(links), m_dispatcher(dispatcher),
+      m_relay_connections(thread.io(), max_idle_relays, max_relay_idle_time) {}
+
+std::string claim_service::mint(request_context const& context) {
+    auto const& partners = context.pool->partners;
+    key_prefix const prefix{.primary = m_shared.self.id,
+                            .witness = partners.empty() ? 0 : partners.front().id,
+                            .epoch = current_epoch()};
+    return to_string(prefix) + "-" + format_instance(thread_random()()) + format_instance(thread_random()());
+}
+
+request_result claim_service::refuse_unserved(request_context& context, std::string reason) {
+    return refuse(context, parse_key(context.key), std::move(reason));
+}
+
+request_result claim_service::serve(request_context& context, http_request const& request) {
+    auto const prefix = parse_key(context.key);
+    if (prefix.epoch > current_epoch() + tolerated_future_epochs) {
+        throw invalid_input({{.field = "Idempotency-Key",
+                              .problem = "its prefix lies in the future",
+                              .allowed = "a prefix of an address answer"}});
+    }
+    if (prefix.primary == m_shared.self.id) {
+        return serve_as_primary(context, prefix, request);
+    }
+    if (prefix.witness == m_shared.self.id && field_of(request, header::relay) == resolve_purpose) {
+        return resolve(context, prefix);
+    }
+    return relay(context, prefix, request);
+}
+
+request_result claim_service::serve_as_primary(request_context& context, key_prefix const& prefix,
+                                               http_request const& request) {
+    request_outcome decided;
+    auto const step = m_shared.claims.with([&](claim_window& window) {
+        auto const answer = window.begin(context.key, prefix.epoch);
+        if (answer.outcome != nullptr) {
+            decided = *answer.outcome;
+        }
+        return answer.step;
+    });
+    switch (step) {
+    case primary_step::claim:
+        return claim_and_dispatch(context, prefix, request);
+    case primary_step::wait:
+        log_claim(context, "wait", "another copy is in progress");
+        return wait_for_outcome(context);
+    case primary_step::replay:
+        log_claim(context, "replay", to_string(decided.kind));
+        m_shared.counters.add(counter::keys_replayed);
+        return replay_result(decided);
+    case primary_step::too_old:
+        return failed_result(outcome_kind::unknown, "the key is older than the instance remembers");
+    case primary_step::window_full:
+        return failed_result(outcome_kind::unknown, "the instance has no memory left for keys");
+    }
+    return failed_result(outcome_kind::unknown, "no such step");
+}
+
+request_result claim_service::claim_and_dispatch(request_context& context, key_prefix const& prefix,
+                                                 http_request const& request) {
+    if (prefix.witness != 0) {
+        auto const answer = ask_witness(context, prefix);
+        if (answer != peer_result::accepted) {
+            return refuse(context, prefix,
+                          answer == peer_result::refused ? "the witness refused the claim"
+                                                         : "the witness did not answer");
+        }
+    }
+    if (std::chrono::steady_clock::now() >= context.deadline) {
+        return refuse(context, prefix, "the deadline passed before the dispatch");
+    }
+    bool const granted =
+        m_shared.claims.with([&](claim_window& window) { return window.may_dispatch(context.key); });
+    if (!granted) {
+        return refuse(context, prefix, "the claim is no longer held");
+    }
+    log_claim(context, "dispatch", prefix.witness == 0 ? "no other instance" : "granted");
+    auto result = m_dispatcher.dispatch_once(context, request);
+    auto const outcome = outcome_of(result);
+    m_shared.claims.with([&](claim_window& window) { window.finish(context.key, outcome); });
+    tell_witness(context, prefix, outcome);
+    return result;
+}
+
+request_result claim_service::refuse(request_context& context, key_prefix const& prefix, std::string reason) {
+    auto const outcome =
+        m_shared.claims.with([&](claim_window& window) { return window.refuse(context.key, prefix.epoch); });
+    log_claim(context, "refuse", reason);
+    tell_witness(context, prefix, outcome);
+    if (outcome.kind == outcome_kind::ran) {
+        return replay_result(outcome);
+    }
+    return failed_result(outcome.kind, std::move(reason));
+}
+
+peer_result claim_service::ask_witness(request_context& context, key_prefix const& prefix) {
+    auto const* witness = context.fleet->find_member(prefix.witness);
+    if (witness == nullptr) {
+        return peer_result::no_answer;
+    }
+    m_shared.counters.add(counter::claims_sent);
+    auto const started = steady_now();
+    claim_message message{.key = context.key,
+                          .epoch = prefix.epoch,
+                          .record_sequence = context.record_sequence,
+                          .record = context.record};
+    auto const wait = m_links.to(witness->entry)->send(std::move(message));
+    auto const limit = std::chrono::steady_clock::now() + m_shared.settings.claim_timeout;
+    auto const answer = wait->wait_until(std::min(context.deadline, limit));
+    m_shared.counters.claim_latency.observe(steady_now() - started);
+    switch (answer) {
+    case peer_result::accepted:
+        m_shared.counters.add(counter::claims_granted);
+        context.replicated = wait;
+        break;
+    case peer_result::refused:
+        m_shared.counters.add(counter::claims_refused);
+        break;
+    case peer_result::no_answer:
+        m_shared.counters.add(counter::claims_unanswered);
+        break;
+    }
+    return answer;
+}
+
+void claim_service::tell_witness(request_context& context, key_prefix const& prefix,
+                                 request_outcome outcome) {
+    auto const* witness = prefix.witness == 0 ? nullptr : context.fleet->find_member(prefix.witness);
+    if (witness == nullptr) {
+        return;
+    }
+    if (outcome.body.size() > m_shared.settings.claims.max_kept_body_bytes) {
+        outcome.body.clear();
+    } else {
+        outcome.answer_kept = outcome.kind == outcome_kind::ran;
+    }
+    m_links.to(witness->entry)
+        ->post(outcome_message{.key = context.key, .epoch = prefix.epoch, .outcome = std::move(outcome)});
+}
+
+request_result claim_service::wait_for_outcome(request_context& context) {
+    // Copies of one request in progress are rare, so they look again instead of being woken.
+    while (std::chrono::steady_clock::now() < context.deadline) {
+        std::optional<request_outcome> decided;
+        m_shared.claims.with([&](claim_window& window) {
+            if (auto const* outcome = window.outcome(context.key); outcome != nullptr) {
+                decided = *outcome;
+            }
+        });
+        if (decided) {
+            return replay_result(*decided);
+        }
+        boost::this_fiber::sleep_for(outcome_poll);
+    }
+    return failed_result(outcome_kind::unknown, "another copy of the request is still in progress");
+}
+
+request_result claim_service::relay(request_context& context, key_prefix const& prefix,
+                                    http_request const& request) {
+    if (!field_of(request, header::relay).empty()) {
+        return failed_result(outcome_kind::unknown, "the instance that the key names is not this one");
+    }
+    if (auto result = relay_to(context, prefix.primary, forward_purpose, request); result) {
+        return std::move(*result);
+    }
+    if (prefix.witness == m_shared.self.id) {
+        return resolve(context, prefix);
+    }
+    if (prefix.witness != 0) {
+        if (auto result = relay_to(context, prefix.witness, resolve_purpose, request); result) {
+            return std::move(*result);
+        }
+    }
+    return failed_result(outcome_kind::unknown, "neither instance that the key names answered");
+}
+
+std::optional<request_result> claim_service::relay_to(request_context& context, instance_id where,
+                                                      std::string_view purpose, http_request const& request) {
+    auto const* member = context.fleet->find_member(where);
+    if (member == nullptr) {
+        return std::nullopt;
+    }
+    m_shared.counters.add(counter::relays);
+    log_claim(context, "relay", purpose);
+    auto relayed = request;
+    set_field(relayed, header::relay, purpose);
+    set_field(relayed, header::idempotency_key, context.key);
+    auto const left = context.deadline - std::chrono::steady_clock::now();
+    auto const left_ms = std::chrono::duration_cast<std::chrono::milliseconds>(left).count();
+    set_field(relayed, header::deadline_ms, std::to_string(std::max<std::int64_t>(1, left_ms)));
+    relayed.prepare_payload();
+    try {
+        auto const& address = member->entry.caller_address;
+        auto connection = m_relay_connections.take_idle(address);
+        if (connection == nullptr) {
+            connection = m_relay_connections.open(
+                address,
+                std::min(context.deadline, std::chrono::steady_clock::now() + relay_connect_timeout));
+        }
+        // The primary decides on copies, so a relay that broke may be followed by a resolution.
+        auto response = connection->exchange(relayed, m_shared.settings.http.max_body_bytes,
+                                             context.deadline + relay_connect_timeout);
+        m_relay_connections.give_back(address, std::move(connection));
+        auto const kind = kind_from_text(field_of(response, header::outcome));
+        context.recorded_elsewhere = true;
+        return request_result{.kind = kind, .response = std::move(response), .reason = "relayed"};
+    } catch (error const& failure) {
+        log_claim(context, "relay_failed", failure.what());
+        return std::nullopt;
+    }
+}
+
+request_result claim_service::resolve(request_context& context, key_prefix const& prefix) {
+    auto const outcome =
+        m_shared.claims.with([&](claim_window& window) { return window.resolve(context.key, prefix.epoch); });
+    log_claim(context, "resolve", to_string(outcome.kind));
+    if (outcome.kind == outcome_kind::not_run) {
+        m_shared.counters.add(counter::keys_fenced);
+    }
+    return replay_result(outcome);
+}
+
+} // namespace pomelospread
--- /dev/null
+++ b/Libraries/Entry/entry/fleet_state.hpp
@@ -0,0 +1,86 @@
+// What one request sees: the tables in force, the pools' runtime state and the members, as one snapshot.
+#pragma once
+
+#include "coordination/membership.hpp"
+#include "coordination/placement.hpp"
+#include "coordination/target_pool.hpp"
+#include "coordination/waiting_queue.hpp"
+#include "state/rcu_snapshot.hpp"
+#include "state/tables.hpp"
+
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/mutex.hpp>
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace pomelospread {
+
+/// A request that waits for a free place; woken from any thread.
+class place_waiter {
+public:
+    /// Suspends until woken or `deadline`; returns whether it was woken.
+    bool wait_until(std::chrono::steady_clock::time_point deadline);
+    void wake();
+
+private:
+    boost::fibers::mutex m_mutex;
+    boost::fibers::condition_variable m_condition;
+    bool m_woken = false;
+};
+
+/// The waiting requests of one pool. Thread-safe; its lock is taken only while every target is full.
+class pool_queue {
+public:
+    explicit pool_queue(std::size_t capacity) : m_queue(capacity) {}
+
+    [[nodiscard]] bool push(std::string const& customer, nanoseconds deadline,
+                            std::shared_ptr<place_waiter> waiter);
+    bool remove(std::string const& customer, std::shared_ptr<place_waiter> const& waiter);
+    void wake_next();
+    [[nodiscard]] std::size_t size() const noexcept { return m_size.load(std::memory_order_acquire); }
+
+private:
+    std::mutex m_mutex;
+    waiting_queue<std::shared_ptr<place_waiter>> m_queue;
+    std::atomic<std::size_t> m_size{0};
+};
+
+/// One pool as requests use it.
+struct pool_runtime {
+    std::shared_ptr<target_pool> targets;
+    std::shared_ptr<pool_queue> queue;
+    std::vector<instance_entry> other_homes; ///< Those that in-flight counts are exchanged with.
+    std::vector<instance_entry> partners;    ///< For claims and account records, best first.
+};
+
+/// An immutable snapshot; replaced whole when the tables or the members change.
+struct fleet_state {
+    std::shared_ptr<tables const> content = std::make_shared<tables>();
+    std::map<std::string, pool_runtime, std::less<>> pools;
+    std::vector<member_view> members;
+    instance_entry self;
+
+    [[nodiscard]] pool_runtime const* find_pool(std::string_view name) const;
+    /// The member with this identity unless it is unknown or dead.
+    [[nodiscard]] member_view const* find_member(instance_id id) const;
+};
+
+using fleet_snapshot = rcu_snapshot<fleet_state>;
+
+/// Builds the next snapshot. Pools keep their runtime state from `previous`.
+[[nodiscard]] std::shared_ptr<fleet_state const>
+next_fleet_state(fleet_state const& previous, std::shared_ptr<tables const> content,
+                 std::vector<member_view> members, target_policy const& policy, std::size_t queue_capacity,
+                 nanoseconds now);
+
+/// Time since the steady clock's epoch, as the decision code takes it.
+[[nodiscard]] inline nanoseconds steady_now() {
+    return std::chrono::steady_clock::now().time_since_epoch();
+}
+
+} // namespace pomelospread
--- /dev/null
+++ b/Libraries/Entry/entry/instance.cpp
@@ -0,0 +1,200 @@
+#include "entry/instance.hpp"
+
+#include "base/log.hpp"
+#include "base/random.hpp"
+#include "protocol/json_codec.hpp"
+#include "state/tables_toml.hpp"
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/fiber/operations.hpp>
+
+#include <csignal>
+#include <fstream>
+#include <future>
+#include <sstream>
+
+namespace pomelospread {
+
+namespace {
+
+constexpr auto stop_poll = std::chrono::milliseconds(10);
+constexpr auto final_flush_pause = std::chrono::milliseconds(200);
+constexpr auto final_flush_limit = std::chrono::seconds(60);
+constexpr auto request_wait_limit = std::chrono::minutes(11);
+
+std::string read_file(std::string const& name, std::string const& setting) {
+    if (name.empty()) {
+        return {};
+    }
+    std::ifstream file(name);
+    if (!file) {
+        throw invalid_input(
+            {{.field = setting, .problem = "\"" + name + "\" cannot be read", .allowed = "a file"}});
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+instance_entry describe_self(instance_settings const& settings) {
+    return {.id = thread_random()() | 1U,
+            .zone = settings.zone,
+            .caller_address = settings.listen,
+            .peer_address = settings.peer_listen,
+            .admin_address = settings.admin_listen,
+            .leaving = false};
+}
+
+/// Runs `work` in a fiber of `thread` and waits for its end.
+template<class Work>
+void run_on(io_thread& thread, Work work) {
+    std::promise<void> done;
+    thread.spawn([&] {
+        work();
+        done.set_value();
+    });
+    done.get_future().wait();
+}
+
+} // namespace
+
+instance::instance(instance_settings settings) {
+    auto const self = describe_self(settings);
+    m_shared = std::make_shared<shared_parts>(std::move(settings), self);
+    auto const& checked = m_shared->settings;
+    if (!checked.platform) {
+        load_embedded_tables();
+    }
+    m_control_thread = std::make_unique<io_thread>("control");
+    if (checked.platform) {
+        m_platform_client = std::make_unique<platform_client>(m_control_thread->io(), *checked.platform,
+                                                              checked.platform_timeout);
+    }
+    auto const services =
+        m_platform_client != nullptr
+            ? platform_services{*m_platform_client, m_platform_client->objects(), *m_platform_client}
+            : platform_services{m_memory_platform, m_memory_platform.objects(), m_memory_platform};
+    m_control = std::make_unique<fleet_control>(*m_control_thread, *m_shared, services);
+    m_peer_server = std::make_unique<peer_server>(*m_control_thread, checked.peer_listen, self.id,
+                                                  [this](instance_id from, peer_batch batch) {
+                                                      return m_control->answer_peer(from, std::move(batch));
+                                                  });
+    m_admin_server =
+        std::make_unique<http_server>(*m_control_thread, checked.admin_listen, checked.http,
+                                      [this](http_request& request) { return answer_operator(request); });
+    for (std::size_t i = 0; i < checked.threads; ++i) {
+        worker next;
+        next.thread = std::make_unique<io_thread>("callers-" + std::to_string(i));
+        next.handler = std::make_unique<request_handler>(*next.thread, *m_shared);
+        auto* const handler = next.handler.get();
+        next.server = std::make_unique<http_server>(
+            *next.thread, checked.listen, checked.http,
+            [handler](http_request& request) { return handler->handle(request); });
+        m_workers.push_back(std::move(next));
+    }
+}
+
+instance::~instance() {
+    // Fibers use the servers and handlers, so they end first.
+    for (auto& each : m_workers) {
+        each.thread->stop();
+    }
+    m_control_thread->stop();
+    m_admin_server.reset();
+    m_peer_server.reset();
+    m_workers.clear();
+    m_control_thread.reset();
+}
+
+void instance::load_embedded_tables() {
+    auto const& settings = m_shared->settings;
+    if (settings.routes_file.empty() && settings.pools_file.empty()) {
+        return;
+    }
+    auto const declared = read_tables({settings.routes_file, read_file(settings.routes_file, "--routes")},
+                                      {settings.pools_file, read_file(settings.pools_file, "--pools")});
+    table_store(m_memory_platform).apply(declared, 0, "embedded", "embedded", 0);
+}
+
+void instance::run() {
+    start();
+    boost::asio::io_context signals(1);
+    boost::asio::signal_set waiting(signals, SIGTERM, SIGINT);
+    waiting.async_wait([](auto const&, int) {});
+    signals.run();
+    stop();
+}
+
+void instance::start() {
+    m_control->start();
+    m_peer_server->start();
+    m_admin_server->start();
+    for (auto& each : m_workers) {
+        each.server->start();
+    }
+    log_line(log_level::info, "instance_started")
+        .field("instance", format_instance(m_shared->self.id))
+        .field("zone", m_shared->self.zone)
+        .field("callers", to_string(m_shared->self.caller_address))
+        .field("peers", to_string(m_shared->self.peer_address))
+        .field("operators", to_string(m_shared->self.admin_address))
+        .write();
+}
+
+void instance::stop() {
+    log_line(log_level::info, "stop_begun").write();
+    run_on(*m_control_thread, [&] { m_control->announce_leaving(); });
+    for (auto& each : m_workers) {
+        each.server->begin_drain();
+    }
+    // Callers may use an older address answer until it ends, so this instance keeps serving.
+    std::this_thread::sleep_for(m_shared->settings.drain);
+    for (auto& each : m_workers) {
+        run_on(*each.thread, [&] { each.server->stop_listening(); });
+    }
+    wait_for_requests();
+    bool stored = false;
+    auto const flush_by = std::chrono::steady_clock::now() + final_flush_limit;
+    while (!stored && std::chrono::steady_clock::now() < flush_by) {
+        run_on(*m_control_thread, [&] { stored = m_control->finish(); });
+        if (!stored) {
+            std::this_thread::sleep_for(final_flush_pause);
+        }
+    }
+    for (auto& each : m_workers) {
+        run_on(*each.thread, [&] { each.handler->links().close_all(); });
+    }
+    run_on(*m_control_thread, [&] {
+        m_admin_server->stop_listening();
+        m_peer_server->stop();
+        m_control->stop();
+    });
+    log_line(log_level::info, "stop_done").field("account_stored", stored ? "yes" : "no").write();
+}
+
+void instance::wait_for_requests() {
+    auto const limit = std::chrono::steady_clock::now() + request_wait_limit;
+    for (auto& each : m_workers) {
+        bool flushed = false;
+        while ((each.server->open_connections() > 0 || !flushed) &&
+               std::chrono::steady_clock::now() < limit) {
+            std::this_thread::sleep_for(stop_poll);
+            run_on(*each.thread, [&] { flushed = each.handler->links().are_flushed(); });
+        }
+    }
+}
+
+http_response instance::answer_operator(http_request const& request) const {
+    auto const path = std::string_view(request.target().data(), request.target().size());
+    if (path == "/metrics") {
+        return make_response(200, "text/plain; version=0.0.4", m_shared->counters.render());
+    }
+    if (path == "/status") {
+        return make_response(200, "application/json", m_control->status());
+    }
+    return make_response(404, "application/json",
+                         R"({"error":"no such page","allowed":["/status","/metrics"]})"
+                         "\n");
+}
+
+} // namespace pomelospread
--- /dev/null
+++ b/Libraries/Entry/entry/pool_dispatcher.cpp
@@ -0,0 +1,271 @@
+#include "entry/pool_dispatcher.hpp"
+
+#include "base/log.hpp"
+#include "base/random.hpp"
+
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/mutex.hpp>
+
+#include <array>
+#include <utility>
+
+namespace pomelospread {
+
+namespace {
+
+/// A waiting request looks again after this long, because places also become free by news from other homes.
+constexpr auto queue_recheck = std::chrono::milliseconds(10);
+
+/// A target that said it leaves is asked again after this long, in case another took its address.
+constexpr auto leaving_memory = std::chrono::seconds(30);
+
+exchange_result classify(try_outcome const& outcome, bool cancelled) {
+    if (cancelled) {
+        return exchange_result::cancelled;
+    }
+    switch (outcome.result) {
+    case try_result::answered:
+        return outcome.response->result_int() >= 500 ? exchange_result::failed : exchange_result::answered;
+    case try_result::not_started:
+        return outcome.reason == "shed by the target" ? exchange_result::shed : exchange_result::failed;
+    case try_result::broken:
+        return exchange_result::failed;
+    }
+    return exchange_result::failed;
+}
+
+std::int64_t unix_ms_of(steady_time deadline) {
+    auto const left = deadline - std::chrono::steady_clock::now();
+    auto const at = std::chrono::system_clock::now() + left;
+    return std::chrono::duration_cast<std::chrono::milliseconds>(at.time_since_epoch()).count();
+}
+
+http_request prepare(request_context const& context, http_request const& request) {
+    auto prepared = request;
+    // Fields of one connection are not passed on (RFC 9110 section 7.6.1).
+    for (auto const* name :
+         {"Connection", "Keep-Alive", "Proxy-Connection", "TE", "Trailer", "Upgrade", "Expect"}) {
+        erase_field(prepared, name);
+    }
+    erase_field(prepared, header::relay);
+    set_field(prepared, header::request_id, context.record.id);
+    set_field(prepared, header::deadline_unix_ms, std::to_string(unix_ms_of(context.deadline)));
+    prepared.keep_alive(true);
+    prepared.prepare_payload();
+    return prepared;
+}
+
+} // namespace
+
+/// Two tries of one request and the first whole answer. Belongs to one thread.
+struct pool_dispatcher::shared_try {
+    boost::fibers::mutex mutex;
+    boost::fibers::condition_variable changed;
+    std::array<target_exchange::cancel_handle, 2> handles;
+    std::array<bool, 2> done{};
+    std::size_t started = 0;
+    std::optional<std::size_t> winner;
+    try_outcome outcome;
+
+    [[nodiscard]] bool is_decided() const {
+        return winner.has_value() || (done[0] && (started < 2 || done[1]));
+    }
+};
+
+pool_dispatcher::pool_dispatcher(io_thread& thread, shared_parts& shared)
+    : m_thread(thread), m_shared(shared),
+      m_exchange(thread.io(), shared.settings.connections_per_target,
+                 exchange_limits{.max_body_bytes = shared.settings.http.max_body_bytes}, shared.counters) {}
+
+target_ticket pool_dispatcher::acquire(request_context& context, std::optional<std::uint32_t> excluded) {
+    auto& pool = *context.pool;
+    if (pool.queue->size() == 0) {
+        if (auto const ticket = pool.targets->try_start(steady_now(), thread_random(), excluded); ticket) {
+            return *ticket;
+        }
+    }
+    if (excluded && pool.targets->size() == 1) {
+        throw queue_full("the pool has no other target");
+    }
+    return wait_for_place(context);
+}
+
+target_ticket pool_dispatcher::wait_for_place(request_context& context) {
+    auto& pool = *context.pool;
+    m_shared.counters.add(counter::queue_waits);
+    while (std::chrono::steady_clock::now() < context.deadline) {
+        auto const waiter = std::make_shared<place_waiter>();
+        if (!pool.queue->push(context.record.customer, context.deadline.time_since_epoch(), waiter)) {
+            m_shared.counters.add(counter::refused_queue_full);
+            throw queue_full("every target is full and so is the queue");
+        }
+        // A place may have become free between the last look and the push.
+        if (auto const ticket = pool.targets->try_start(steady_now(), thread_random()); ticket) {
+            if (!pool.queue->remove(context.record.customer, waiter)) {
+                pool.queue->wake_next();
+            }
+            return *ticket;
+        }
+        waiter->wait_until(std::min(context.deadline, std::chrono::steady_clock::now() + queue_recheck));
+        pool.queue->remove(context.record.customer, waiter);
+        if (auto const ticket = pool.targets->try_start(steady_now(), thread_random()); ticket) {
+            return *ticket;
+        }
+    }
+    m_shared.counters.add(counter::refused_deadline);
+    throw deadline_exceeded("no target had a free place in time");
+}
+
+void pool_dispatcher::release(request_context const& context, target_ticket const& ticket,
+                              exchange_result result) {
+    context.pool->targets->finish(ticket, steady_now(), result);
+    m_shared.load_changes.fetch_add(1, std::memory_order_relaxed);
+    context.pool->queue->wake_next();
+}
+
+void pool_dispatcher::log_choice(request_context const& context, target_ticket const& ticket,
+                                 std::string_view purpose) const {
+    auto const& row = context.pool->targets->row();
+    log_line(log_level::info, "target_chosen")
+        .field("request", context.record.id)
+        .field("route", context.route->name)
+        .field("pool", row.name)
+        .field("target", to_string(row.targets[ticket.target].address))
+        .field("reason", to_string(ticket.reason))
+        .field("purpose", purpose)
+        .field("in_flight", static_cast<std::uint64_t>(context.pool->targets->in_flight(ticket.target)))
+        .field("tables_version", context.fleet->content->version)
+        .write();
+}
+
+try_outcome pool_dispatcher::run_try(request_context& context, target_ticket const& ticket,
+                                     http_request const& request, bool idempotent,
+                                     target_exchange::cancel_handle& handle) {
+    m_shared.load_changes.fetch_add(1, std::memory_order_relaxed);
+    auto const& address = context.pool->targets->row().targets[ticket.target].address;
+    auto outcome = m_exchange.try_once(address, request, idempotent, context.deadline, handle);
+    release(context, ticket, classify(outcome, handle.cancelled));
+    if (outcome.result == try_result::answered) {
+        m_shared.counters.target_latency.observe(steady_now() - ticket.started);
+        if (field_of(*outcome.response, header::leaving) == "1") {
+            context.pool->targets->set_leaving(ticket.target, steady_now() + leaving_memory);
+        }
+    }
+    return outcome;
+}
+
+request_result pool_dispatcher::dispatch_once(request_context& context, http_request const& request) {
+    auto const prepared = prepare(context, request);
+    auto& retry_budget = context.pool->targets->retry_budget();
+    retry_budget.earn();
+    std::optional<std::uint32_t> excluded;
+    for (;;) {
+        target_ticket ticket;
+        try {
+            ticket = acquire(context, excluded);
+        } catch (error const& failure) {
+            return failed_result(outcome_kind::not_run, failure.what());
+        }
+        log_choice(context, ticket, excluded ? "retry" : "first");
+        context.record.target = to_string(context.pool->targets->row().targets[ticket.target].address);
+        target_exchange::cancel_handle handle;
+        auto outcome = run_try(context, ticket, prepared, false, handle);
+        if (outcome.result == try_result::answered) {
+            return {
+                .kind = outcome_kind::ran, .response = std::move(*outcome.response), .reason = "answered"};
+        }
+        if (outcome.result == try_result::broken) {
+            return failed_result(outcome_kind::unknown, outcome.reason);
+        }
+        bool const free_retry = outcome.reason == "idle connection";
+        if (std::chrono::steady_clock::now() >= context.deadline ||
+            (!free_retry && !retry_budget.try_spend())) {
+            return failed_result(outcome_kind::not_run, outcome.reason);
+        }
+        m_shared.counters.add(counter::retries);
+        excluded = free_retry ? excluded : std::optional(ticket.target);
+    }
+}
+
+request_result pool_dispatcher::dispatch_idempotent(request_context& context, http_request const& request) {
+    auto const prepared = prepare(context, request);
+    auto& retry_budget = context.pool->targets->retry_budget();
+    retry_budget.earn();
+    std::optional<std::uint32_t> excluded;
+    for (;;) {
+        target_ticket ticket;
+        try {
+            ticket = acquire(context, excluded);
+        } catch (error const& failure) {
+            return failed_result(outcome_kind::not_run, failure.what());
+        }
+        log_choice(context, ticket, excluded ? "retry" : "first");
+        context.record.target = to_string(context.pool->targets->row().targets[ticket.target].address);
+        auto outcome = run_hedged(context, ticket, prepared);
+        bool const answered = outcome.result == try_result::answered;
+        if (answered && (outcome.response->result_int() < 500 || !retry_budget.try_spend())) {
+            return {
+                .kind = outcome_kind::ran, .response = std::move(*outcome.response), .reason = "answered"};
+        }
+        bool const in_time = std::chrono::steady_clock::now() < context.deadline;
+        if (!in_time || (!answered && !retry_budget.try_spend())) {
+            auto const kind =
+                outcome.result == try_result::not_started ? outcome_kind::not_run : outcome_kind::unknown;
+            return failed_result(kind, outcome.reason);
+        }
+        m_shared.counters.add(counter::retries);
+        excluded = ticket.target;
+    }
+}
+
+void pool_dispatcher::start_try(std::shared_ptr<shared_try> const& state, request_context& context,
+                                target_ticket ticket, http_request const& request, std::size_t index) {
+    ++state->started;
+    // The request's own fiber may return while the loser still ends, so the loser shares what it uses.
+    auto own = std::make_shared<request_context>(context);
+    auto sent = std::make_shared<http_request>(request);
+    m_thread.spawn([this, state, own, sent, ticket, index] {
+        auto outcome = run_try(*own, ticket, *sent, true, state->handles[index]);
+        state->done[index] = true;
+        bool const whole = outcome.result == try_result::answered && outcome.response->result_int() < 500;
+        if (!state->winner && (whole || state->is_decided())) {
+            state->winner = index;
+            state->outcome = std::move(outcome);
+        }
+        state->changed.notify_all();
+    });
+}
+
+try_outcome pool_dispatcher::run_hedged(request_context& context, target_ticket const& first,
+                                        http_request const& request) {
+    auto& pool = *context.pool->targets;
+    pool.hedge_budget().earn();
+    auto const delay = pool.hedge_delay();
+    if (!context.route->hedge || delay == nanoseconds::zero() || pool.size() < 2) {
+        target_exchange::cancel_handle handle;
+        return run_try(context, first, request, true, handle);
+    }
+    auto const state = std::make_shared<shared_try>();
+    start_try(state, context, first, request, 0);
+    std::unique_lock lock(state->mutex);
+    auto const decided = [&] { return state->is_decided(); };
+    if (!state->changed.wait_until(lock, std::chrono::steady_clock::now() + delay, decided) &&
+        context.pool->queue->size() == 0 && pool.hedge_budget().try_spend()) {
+        if (auto const second = pool.try_start(steady_now(), thread_random(), first.target); second) {
+            m_shared.counters.add(counter::hedges);
+            log_choice(context, *second, "hedge");
+            start_try(state, context, *second, request, 1);
+        }
+    }
+    state->changed.wait(lock, decided);
+    auto const winner = state->winner.value_or(0);
+    if (winner == 1) {
+        m_shared.counters.add(counter::hedge_wins);
+    }
+    if (state->started == 2 && !state->done[1 - winner]) {
+        state->handles[1 - winner].cancel();
+    }
+    return std::move(state->outcome);
+}
+
+} // namespace pomelospread
--- /dev/null
+++ b/Libraries/Entry/entry/pool_dispatcher.hpp
@@ -0,0 +1,48 @@
+// Sends a request to targets of its pool: waiting, choosing, retrying and hedging within its deadline.
+#pragma once
+
+#include "entry/request_context.hpp"
+#include "entry/shared_parts.hpp"
+#include "entry/target_exchange.hpp"
+#include "transport/io_thread.hpp"
+
+namespace pomelospread {
+
+/// One thread's dispatcher.
+class pool_dispatcher {
+public:
+    pool_dispatcher(io_thread& thread, shared_parts& shared);
+
+    /// Dispatches a lookup: retries and hedges are allowed within their budgets.
+    request_result dispatch_idempotent(request_context& context, http_request const& request);
+    /// Dispatches a claimed request: only a try that provably did not start is followed by another.
+    request_result dispatch_once(request_context& context, http_request const& request);
+
+private:
+    struct shared_try;
+
+    /// A place at a target, waiting in the queue when every target is full.
+    /// Throws `deadline_exceeded`, or `queue_full`.
+    target_ticket acquire(request_context& context, std::optional<std::uint32_t> excluded);
+    target_ticket wait_for_place(request_context& context);
+    try_outcome run_try(request_context& context, target_ticket const& ticket, http_request const& request,
+                        bool idempotent, target_exchange::cancel_handle& handle);
+    try_outcome run_hedged(request_context& context, target_ticket const& first, http_request const& request);
+    void start_try(std::shared_ptr<shared_try> const& state, request_context& context, target_ticket ticket,
+                   http_request const& request, std::size_t index);
+    void log_choice(request_context const& context, target_ticket const& ticket,
+                    std::string_view purpose) const;
+    void release(request_context const& context, target_ticket const& ticket, exchange_result result);
+
+    io_thread& m_thread;
+    shared_parts& m_shared;
+    target_exchange m_exchange;
+};
+
+/// The pool's queue is full, so the request was not sent to any target.
+class queue_full : public error {
+public:
+    using error::error;
+};
+
+} // namespace pomelospread
--- /dev/null
+++ b/Libraries/Entry/entry/request_handler.hpp
@@ -0,0 +1,45 @@
+// Answers the requests of callers on one thread.
+#pragma once
+
+#include "entry/claim_service.hpp"
+#include "entry/pool_dispatcher.hpp"
+#include "entry/shared_parts.hpp"
+#include "protocol/peer_link.hpp"
+
+namespace pomelospread {
+
+/// Serves the address question and forwards every other request. Belongs to one thread.
+class request_handler {
+public:
+    request_handler(io_thread& thread, shared_parts& shared);
+
+    /// Never throws for anything that a caller sent.
+    http_response handle(http_request& request);
+
+    [[nodiscard]] peer_links& links() noexcept { return m_links; }
+
+private:
+    http_response answer_addresses(http_request const& request);
+    http_response forward(http_request& request);
+    request_result serve(request_context& context, http_request& request);
+    request_result serve_within_limit(request_context& context, http_request& request);
+    /// Refuses a request that was not served, finally for its key.
+    request_result refuse(request_context& context, std::string reason);
+    /// Whether this instance decides on the request, not one that its key names.
+    [[nodiscard]] bool is_decided_here(request_context const& context) const;
+    /// The caller's key, or a new one. Throws `invalid_input` naming `Idempotency-Key`.
+    [[nodiscard]] std::string key_of(request_context const& context, http_request const& request);
+    [[nodiscard]] bool admit(request_context& context, http_request const& request,
+                             std::optional<http_response>& refusal);
+    void start_replication(request_context& context);
+    void finish_replication(request_context& context, request_result const& result);
+    http_response finish(request_context& context, request_result result, nanoseconds started);
+
+    io_thread& m_thread;
+    shared_parts& m_shared;
+    peer_links m_links;
+    pool_dispatcher m_dispatcher;
+    claim_service m_claims;
+};
+
+} // namespace pomelospread
--- /dev/null
+++ b/Libraries/Entry/entry/settings.hpp
@@ -0,0 +1,57 @@
+// The settings of an entry instance, from flags and environment variables.
+#pragma once
+
+#include "base/endpoint.hpp"
+#include "base/log.hpp"
+#include "coordination/claim_window.hpp"
+#include "coordination/membership.hpp"
+#include "coordination/placement.hpp"
+#include "coordination/target_pool.hpp"
+#include "protocol/http_types.hpp"
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace pomelospread {
+
+/// Every setting, checked.
+struct instance_settings {
+    endpoint listen;
+    endpoint peer_listen;
+    endpoint admin_listen;
+    std::string zone;
+    std::optional<endpoint> platform; ///< Nothing means the platform in memory.
+    std::string routes_file;          ///< Initial tables of the platform in memory.
+    std::string pools_file;
+    std::size_t threads = 2;
+    log_level level = log_level::info;
+    log_format format = log_format::key_value;
+    http_limits http;
+    membership_limits members;
+    placement_limits placement;
+    claim_window_limits claims;
+    target_policy policy;
+    std::chrono::milliseconds platform_timeout{1000};
+    std::chrono::milliseconds table_poll{500};
+    std::chrono::milliseconds list_poll{2000};
+    std::chrono::milliseconds claim_timeout{250};
+    std::chrono::milliseconds drain{12000};
+    std::chrono::milliseconds flush_interval{2000};
+    std::chrono::milliseconds load_interval{2};
+    std::size_t queue_capacity = 1000; ///< Waiting requests of one pool.
+    std::size_t journal_capacity = 200000;
+    std::size_t connections_per_target = 16; ///< Idle ones kept by one thread.
+};
+
+/// Reads the gflags that `read_command_line` set. Throws `invalid_input` listing every bad setting.
+[[nodiscard]] instance_settings read_settings();
+
+/// The settings' help text.
+[[nodiscard]] std::string describe_settings();
+
+/// Source file whose flags belong to the entry instance, for `read_command_line`.
+constexpr std::string_view settings_file = "entry/settings.cpp";
+
+} // namespace pomelospread
--- /dev/null
+++ b/Libraries/Entry/entry/shared_parts.hpp
@@ -0,0 +1,71 @@
+// What the threads of one entry instance share.
+#pragma once
+
+#include "base/metrics.hpp"
+#include "coordination/claim_window.hpp"
+#include "entry/account_keeper.hpp"
+#include "entry/fleet_state.hpp"
+#include "entry/settings.hpp"
+
+#include <atomic>
+#include <functional>
+#include <mutex>
+#include <unordered_map>
+
+namespace pomelospread {
+
+/// The claim window behind a lock that is never held across a suspension.
+class shared_claims {
+public:
+    shared_claims(instance_id self, claim_window_limits limits) : m_window(self, limits) {}
+
+    /// Calls `use` with the window; `use` must not suspend.
+    template<class Use>
+    auto with(Use use) {
+        std::lock_guard const lock(m_mutex);
+        return use(m_window);
+    }
+
+private:
+    std::mutex m_mutex;
+    claim_window m_window;
+};
+
+/// Counts the requests in progress of each customer on each route. Thread-safe.
+class customer_limits {
+public:
+    /// False when `limit` requests are in progress already.
+    [[nodiscard]] bool try_enter(std::string const& key, std::int64_t limit);
+    void leave(std::string const& key);
+
+private:
+    std::mutex m_mutex;
+    std::unordered_map<std::string, std::int64_t> m_in_progress;
+};
+
+/// Owned by the instance; every member is thread-safe.
+struct shared_parts {
+    shared_parts(instance_settings given, instance_entry entry)
+        : settings(std::move(given)), self(std::move(entry)), fleet(initial_state(self)),
+          claims(self.id, settings.claims), account(self.id, settings.journal_capacity, counters) {}
+
+    instance_settings const settings;
+    instance_entry const self;
+    metrics counters;
+    fleet_snapshot fleet;
+    shared_claims claims;
+    account_keeper account;
+    customer_limits customers;
+    std::atomic<std::uint64_t> next_request{1};
+    std::atomic<std::uint64_t> in_progress{0};
+    std::atomic<std::uint64_t> load_changes{0}; ///< Counts starts and ends of exchanges with targets.
+
+private:
+    static std::shared_ptr<fleet_state const> initial_state(instance_entry const& self) {
+        auto state = std::make_shared<fleet_state>();
+        state->self = self;
+        return state;
+    }
+};
+
+} // namespace pomelospread
--- /dev/null
+++ b/Libraries/Entry/entry/target_exchange.hpp
@@ -0,0 +1,62 @@
+// One try of a request at one target, and what may be concluded from how it ended.
+#pragma once
+
+#include "base/metrics.hpp"
+#include "coordination/target_pool.hpp"
+#include "protocol/http_connection.hpp"
+
+#include <memory>
+#include <optional>
+
+namespace pomelospread {
+
+/// What is known about a try.
+enum class try_result : std::uint8_t {
+    answered,    ///< A whole answer.
+    not_started, ///< Provably not run: no connection, no body sent, or shed before the start.
+    broken,      ///< It may have run, and no whole answer came.
+};
+
+struct try_outcome {
+    try_result result = try_result::broken;
+    std::optional<http_response> response; ///< Set when `answered`.
+    std::string reason;                    ///< For the log line when not answered.
+};
+
+/// Limits of exchanges with targets.
+struct exchange_limits {
+    std::size_t max_body_bytes = std::size_t{1024} * 1024;
+    std::chrono::milliseconds connect_timeout{300};
+    /// A connection idle for longer is tested before a request that must not run twice is sent on it.
+    std::chrono::milliseconds trusted_idle{500};
+    std::chrono::milliseconds expect_timeout{200};
+};
+
+/// Sends requests to targets from one thread.
+class target_exchange {
+public:
+    target_exchange(boost::asio::io_context& io, std::size_t idle_per_target, exchange_limits limits,
+                    metrics& counters);
+
+    /// The connection in use, so that another fiber of this thread can close it to cancel the try.
+    struct cancel_handle {
+        http_connection* connection = nullptr;
+        bool cancelled = false;
+
+        void cancel();
+    };
+
+    /// Tries once, never twice: a request that may have started is not sent again.
+    try_outcome try_once(endpoint const& target, http_request const& request, bool idempotent,
+                         steady_time deadline, cancel_handle& handle);
+
+private:
+    try_outcome send(http_connection& connection, bool fresh, http_request const& request, bool idempotent,
+                     steady_time deadline);
+
+    exchange_limits m_limits;
+    metrics& m_metrics;
+    connection_cache m_connections;
+};
+
+} // namespace pomelospread
--- /dev/null
+++ b/Libraries/Protocol/protocol/http_connection.cpp
@@ -0,0 +1,167 @@
+#include "protocol/http_connection.hpp"
+
+#include "transport/socket_options.hpp"
+#include "transport/use_fiber.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http.hpp>
+
+#include <sys/socket.h>
+
+#include <utility>
+
+namespace pomelospread {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+asio::ip::tcp::endpoint to_asio(endpoint const& value) {
+    return {asio::ip::make_address(value.address), value.port};
+}
+
+} // namespace
+
+http_connection::http_connection(asio::io_context& io, endpoint const& remote, steady_time deadline)
+    : m_stream(io), m_last_used(std::chrono::steady_clock::now()) {
+    boost::system::error_code error;
+    m_stream.expires_at(deadline);
+    m_stream.async_connect(to_asio(remote), use_fiber(error));
+    if (error == beast::error::timeout) {
+        throw deadline_exceeded("connecting to " + to_string(remote));
+    }
+    if (error) {
+        throw connect_failed("connecting to " + to_string(remote) + ": " + error.message());
+    }
+    configure_socket(m_stream.socket());
+}
+
+http_response http_connection::exchange(http_request const& request, std::size_t max_body_bytes,
+                                        steady_time deadline) {
+    m_reusable = false;
+    boost::system::error_code error;
+    m_stream.expires_at(deadline);
+    m_bytes_written = http::async_write(m_stream, request, use_fiber(error));
+    if (error) {
+        fail("sending the request", error);
+    }
+    return read_response(max_body_bytes, request.method() == http::verb::head, deadline);
+}
+
+http_response http_connection::exchange_with_expect(http_request request, std::size_t max_body_bytes,
+                                                    steady_time answer_by, steady_time deadline) {
+    m_reusable = false;
+    m_bytes_written = 0;
+    request.set(http::field::expect, "100-continue");
+    http::request_serializer<http::string_body> serializer(request);
+    boost::system::error_code error;
+    m_stream.expires_at(answer_by);
+    http::async_write_header(m_stream, serializer, use_fiber(error));
+    http::response_parser<http::string_body> interim;
+    interim.body_limit(max_body_bytes);
+    if (!error) {
+        http::async_read_header(m_stream, m_buffer, interim, use_fiber(error));
+    }
+    if (error) {
+        close();
+        throw not_started("no answer to the request's header: " + error.message());
+    }
+    if (interim.get().result() != http::status::continue_) {
+        m_stream.expires_at(deadline);
+        http::async_read(m_stream, m_buffer, interim, use_fiber(error));
+        close();
+        if (error) {
+            throw not_started("refused before the body: " + error.message());
+        }
+        return interim.release();
+    }
+    m_stream.expires_at(deadline);
+    m_bytes_written = http::async_write(m_stream, serializer, use_fiber(error));
+    if (error) {
+        fail("sending the body", error);
+    }
+    return read_response(max_body_bytes, false, deadline);
+}
+
+http_response http_connection::read_response(std::size_t max_body_bytes, bool head_request,
+                                             steady_time deadline) {
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(max_body_bytes);
+    parser.skip(head_request);
+    boost::system::error_code error;
+    m_stream.expires_at(deadline);
+    http::async_read(m_stream, m_buffer, parser, use_fiber(error));
+    if (error) {
+        fail("reading the answer", error);
+    }
+    // An answer that ends where the connection ends cannot be told from a truncated one.
+    bool const has_length = parser.content_length().has_value() || parser.chunked();
+    if (!has_length && !head_request && parser.need_eof()) {
+        close();
+        throw exchange_incomplete("the answer states no length, so it cannot be known to be whole");
+    }
+    // Bytes beyond the answer belong to nobody; the connection is not used again.
+    m_reusable = parser.keep_alive() && m_buffer.size() == 0;
+    m_last_used = std::chrono::steady_clock::now();
+    m_stream.expires_never();
+    return parser.release();
+}
+
+void http_connection::fail(char const* step, boost::system::error_code error) {
+    close();
+    if (error == beast::error::timeout) {
+        throw deadline_exceeded(step);
+    }
+    throw exchange_incomplete(std::string(step) + ": " + error.message());
+}
+
+bool http_connection::is_quiet() {
+    char byte = 0;
+    auto const received = ::recv(m_stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void http_connection::close() {
+    m_reusable = false;
+    m_stream.close();
+}
+
+connection_cache::connection_cache(asio::io_context& io, std::size_t max_idle_per_address,
+                                   std::chrono::milliseconds max_idle_time)
+    : m_io(io), m_max_idle(max_idle_per_address), m_max_idle_time(max_idle_time) {}
+
+std::unique_ptr<http_connection> connection_cache::take_idle(endpoint const& remote) {
+    auto& idle = m_idle[remote];
+    auto const oldest_allowed = std::chrono::steady_clock::now() - m_max_idle_time;
+    while (!idle.empty()) {
+        auto connection = std::move(idle.back());
+        idle.pop_back();
+        if (connection->last_used() >= oldest_allowed && connection->is_quiet()) {
+            return connection;
+        }
+    }
+    return nullptr;
+}
+
+std::unique_ptr<http_connection> connection_cache::open(endpoint const& remote, steady_time deadline) {
+    return std::make_unique<http_connection>(m_io, remote, deadline);
+}
+
+void connection_cache::give_back(endpoint const& remote, std::unique_ptr<http_connection> connection) {
+    if (!connection->is_reusable()) {
+        return;
+    }
+    auto& idle = m_idle[remote];
+    idle.push_back(std::move(connection));
+    if (idle.size() > m_max_idle) {
+        idle.pop_front();
+    }
+}
+
+void connection_cache::drop(endpoint const& remote) {
+    m_idle.erase(remote);
+}
+
+} // namespace pomelospread
--- /dev/null
+++ b/Libraries/Protocol/protocol/http_server.cpp
@@ -0,0 +1,190 @@
+#include "protocol/http_server.hpp"
+
+#include "base/errors.hpp"
+#include "base/log.hpp"
+#include "transport/use_fiber.hpp"
+
+#include <boost/beast/http.hpp>
+#include <boost/fiber/operations.hpp>
+
+#include <sys/socket.h>
+
+#include <array>
+#include <optional>
+#include <utility>
+
+namespace pomelospread {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr int accept_queue_length = 4096;
+constexpr auto accept_failure_pause = std::chrono::milliseconds(10);
+constexpr std::size_t first_read_bytes = 1024;
+constexpr auto close_timeout = std::chrono::milliseconds(500);
+
+using reuse_port = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+
+} // namespace
+
+struct http_server::session {
+    explicit session(asio::ip::tcp::socket socket) : stream(std::move(socket)) {}
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+};
+
+http_server::http_server(io_thread& thread, endpoint const& address, http_limits limits, handler handle)
+    : m_thread(thread), m_limits(limits), m_handle(std::move(handle)), m_acceptor(thread.io()) {
+    asio::ip::tcp::endpoint const local(asio::ip::make_address(address.address), address.port);
+    try {
+        m_acceptor.open(local.protocol());
+        m_acceptor.set_option(asio::socket_base::reuse_address(true));
+        m_acceptor.set_option(reuse_port(true));
+        m_acceptor.bind(local);
+        m_acceptor.listen(accept_queue_length);
+        m_acceptor.non_blocking(true);
+    } catch (boost::system::system_error const& failure) {
+        throw connect_failed("listening on " + to_string(address) + ": " + failure.code().message());
+    }
+}
+
+http_server::~http_server() = default;
+
+void http_server::start() {
+    m_thread.spawn([this] { accept_loop(); });
+}
+
+endpoint http_server::local_address() const {
+    auto const local = m_acceptor.local_endpoint();
+    return {local.address().to_string(), local.port()};
+}
+
+void http_server::accept_loop() {
+    while (!m_stopped) {
+        boost::system::error_code error;
+        auto socket = m_acceptor.async_accept(use_fiber(error));
+        if (m_stopped) {
+            return;
+        }
+        if (error) {
+            boost::this_fiber::sleep_for(accept_failure_pause);
+            continue;
+        }
+        start_session(std::move(socket));
+    }
+}
+
+void http_server::start_session(asio::ip::tcp::socket socket) {
+    if (m_open >= m_limits.max_connections) {
+        log_line(log_level::warning, "connection_refused").field("reason", "max_connections").write();
+        return;
+    }
+    ++m_open;
+    boost::system::error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    auto shared = std::make_shared<session>(std::move(socket));
+    m_thread.spawn([this, shared] {
+        serve(*shared);
+        --m_open;
+    });
+}
+
+void http_server::serve(session& current) {
+    while (serve_one(current)) {
+    }
+    // RFC 9112 section 9.6: close the sending side first and read what is left, so that the last answer
+    // is not lost to a reset.
+    boost::system::error_code error;
+    current.stream.socket().shutdown(asio::socket_base::shutdown_send, error);
+    current.stream.expires_after(close_timeout);
+    std::array<char, 512> rest{};
+    while (!error) {
+        current.stream.async_read_some(asio::buffer(rest), use_fiber(error));
+    }
+    current.stream.close();
+}
+
+bool http_server::serve_one(session& current) {
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(m_limits.max_header_bytes));
+    parser.body_limit(m_limits.max_body_bytes);
+    boost::system::error_code error;
+    if (current.buffer.size() == 0) {
+        // A buffer that grew for a large request is not kept by an idle connection.
+        current.buffer.shrink_to_fit();
+        current.stream.expires_after(m_limits.idle_timeout);
+        m_idle_sessions.insert(&current);
+        auto const received =
+            current.stream.async_read_some(current.buffer.prepare(first_read_bytes), use_fiber(error));
+        m_idle_sessions.erase(&current);
+        current.buffer.commit(received);
+        if (error) {
+            return false;
+        }
+    }
+    current.stream.expires_after(m_limits.read_timeout);
+    http::async_read_header(current.stream, current.buffer, parser, use_fiber(error));
+    if (!error && field_of(parser.get(), "Expect") == "100-continue") {
+        http::response<http::empty_body> const proceed{http::status::continue_, 11};
+        http::async_write(current.stream, proceed, use_fiber(error));
+    }
+    if (!error) {
+        http::async_read(current.stream, current.buffer, parser, use_fiber(error));
+    }
+    std::optional<http_response> response;
+    bool keep_alive = false;
+    if (error == http::error::header_limit) {
+        response = make_response(431, "application/json",
+                                 R"({"error":"header_too_large"})"
+                                 "\n");
+    } else if (error == http::error::body_limit) {
+        response = make_response(413, "application/json",
+                                 R"({"error":"body_too_large","allowed_bytes":)" +
+                                     std::to_string(m_limits.max_body_bytes) + "}\n");
+    } else if (error.category() == http::make_error_code(http::error::bad_version).category() &&
+               error != http::error::end_of_stream && error != http::error::partial_message) {
+        response = make_response(400, "application/json",
+                                 R"({"error":"malformed_request"})"
+                                 "\n");
+    } else if (error) {
+        return false;
+    } else {
+        auto request = parser.release();
+        keep_alive = request.keep_alive();
+        response = m_handle(request);
+        if (request.method() == http::verb::head) {
+            response->body().clear();
+        }
+    }
+    keep_alive = keep_alive && !m_draining;
+    response->keep_alive(keep_alive);
+    current.stream.expires_after(m_limits.read_timeout);
+    http::async_write(current.stream, *response, use_fiber(error));
+    return !error && keep_alive;
+}
+
+void http_server::stop_listening() {
+    m_draining = true;
+    // A connection in the kernel's queue would be reset by closing the listener, so it is served first.
+    for (;;) {
+        boost::system::error_code error;
+        asio::ip::tcp::socket socket(m_thread.io());
+        m_acceptor.accept(socket, error);
+        if (error) {
+            break;
+        }
+        start_session(std::move(socket));
+    }
+    m_stopped = true;
+    boost::system::error_code ignored;
+    m_acceptor.close(ignored);
+    for (auto* idle : m_idle_sessions) {
+        idle->stream.cancel();
+    }
+}
+
+} // namespace pomelospread
--- /dev/null
+++ b/Libraries/Protocol/protocol/http_server.hpp
@@ -0,0 +1,58 @@
+// An HTTP/1.1 server on one thread: a fiber per connection, every limit and wait bounded.
+#pragma once
+
+#include "base/endpoint.hpp"
+#include "protocol/http_types.hpp"
+#include "transport/io_thread.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <set>
+
+namespace pomelospread {
+
+/// Answers requests with a handler that may suspend its fiber but not block its thread.
+class http_server {
+public:
+    using handler = std::function<http_response(http_request&)>;
+
+    /// Listens; several servers may share an address, each with its own accept queue.
+    /// Throws `connect_failed` when the address cannot be bound.
+    http_server(io_thread& thread, endpoint const& address, http_limits limits, handler handle);
+    ~http_server();
+
+    /// Starts accepting.
+    void start();
+    /// From now on every answer says `Connection: close` (RFC 9112 section 9.6).
+    void begin_drain() noexcept { m_draining = true; }
+    /// Accepts what waits in the kernel's queue, stops listening and closes idle connections.
+    /// Requests in progress are answered. Call from a fiber of the server's thread.
+    void stop_listening();
+
+    [[nodiscard]] endpoint local_address() const;
+    [[nodiscard]] std::size_t open_connections() const noexcept { return m_open.load(); }
+
+private:
+    struct session;
+
+    void accept_loop();
+    void start_session(boost::asio::ip::tcp::socket socket);
+    void serve(session& current);
+    [[nodiscard]] bool serve_one(session& current);
+
+    io_thread& m_thread;
+    http_limits m_limits;
+    handler m_handle;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::set<session*> m_idle_sessions;
+    std::atomic<bool> m_draining{false};
+    std::atomic<bool> m_stopped{false};
+    std::atomic<std::size_t> m_open{0};
+};
+
+} // namespace pomelospread
--- /dev/null
+++ b/Libraries/Protocol/protocol/http_types.hpp
@@ -0,0 +1,66 @@
+// The HTTP messages that pass through the system, held whole.
+#pragma once
+
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <string_view>
+
+namespace pomelospread {
+
+using http_request = boost::beast::http::request<boost::beast::http::string_body>;
+using http_response = boost::beast::http::response<boost::beast::http::string_body>;
+using steady_time = std::chrono::steady_clock::time_point;
+
+/// Sizes and times that every HTTP connection is held to.
+struct http_limits {
+    std::size_t max_header_bytes = std::size_t{16} * 1024;
+    std::size_t max_body_bytes = std::size_t{1024} * 1024;
+    std::chrono::milliseconds idle_timeout{60000}; ///< Until the first byte of the next request.
+    std::chrono::milliseconds read_timeout{10000}; ///< From the first byte of a request to its last.
+    std::size_t max_connections = 4096;            ///< Of one thread.
+};
+
+/// Header fields of the system's own, towards callers and targets.
+namespace header {
+constexpr std::string_view customer = "Pomelospread-Customer";
+constexpr std::string_view outcome = "Pomelospread-Outcome";
+constexpr std::string_view request_id = "Pomelospread-Request-Id";
+constexpr std::string_view key_prefix = "Pomelospread-Key-Prefix";
+constexpr std::string_view deadline_ms = "Pomelospread-Deadline-Ms";
+constexpr std::string_view deadline_unix_ms = "Pomelospread-Deadline-Unix-Ms";
+constexpr std::string_view relay = "Pomelospread-Relay";
+constexpr std::string_view not_started = "Pomelospread-Not-Started";
+constexpr std::string_view leaving = "Pomelospread-Leaving";
+constexpr std::string_view idempotency_key = "Idempotency-Key";
+} // namespace header
+
+/// The value of a header field, empty when it is absent.
+template<class Message>
+[[nodiscard]] std::string_view field_of(Message const& message, std::string_view name) {
+    auto const found = message.find(boost::beast::string_view(name.data(), name.size()));
+    if (found == message.end()) {
+        return {};
+    }
+    return {found->value().data(), found->value().size()};
+}
+
+/// Sets a header field from standard string views.
+template<class Message>
+void set_field(Message& message, std::string_view name, std::string_view value) {
+    message.set(boost::beast::string_view(name.data(), name.size()),
+                boost::beast::string_view(value.data(), value.size()));
+}
+
+/// Removes a header field.
+template<class Message>
+void erase_field(Message& message, std::string_view name) {
+    message.erase(boost::beast::string_view(name.data(), name.size()));
+}
+
+/// Builds a whole answer with a body of the given type.
+[[nodiscard]] http_response make_response(unsigned status, std::string_view content_type, std::string body);
+
+} // namespace pomelospread
--- /dev/null
+++ b/Libraries/Protocol/protocol/peer_link.cpp
@@ -0,0 +1,331 @@
+#include "protocol/peer_link.hpp"
+
+#include "base/log.hpp"
+#include "protocol/json_codec.hpp"
+#include "transport/socket_options.hpp"
+#include "transport/use_fiber.hpp"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/endian/conversion.hpp>
+#include <boost/fiber/operations.hpp>
+
+#include <array>
+#include <mutex>
+#include <utility>
+
+namespace pomelospread {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+
+namespace {
+
+constexpr auto connect_timeout = std::chrono::milliseconds(1000);
+constexpr auto accept_failure_pause = std::chrono::milliseconds(10);
+
+asio::ip::tcp::endpoint to_asio(endpoint const& value) {
+    return {asio::ip::make_address(value.address), value.port};
+}
+
+/// Frames are a 32-bit big-endian length and that many bytes. Throws `exchange_incomplete`.
+void write_frame(beast::tcp_stream& stream, std::string const& bytes) {
+    auto const length = boost::endian::native_to_big(static_cast<std::uint32_t>(bytes.size()));
+    std::array const buffers{asio::buffer(&length, sizeof(length)), asio::buffer(bytes)};
+    boost::system::error_code error;
+    asio::async_write(stream, buffers, use_fiber(error));
+    if (error) {
+        throw exchange_incomplete("writing to a peer: " + error.message());
+    }
+}
+
+std::string read_frame(beast::tcp_stream& stream) {
+    std::uint32_t length = 0;
+    boost::system::error_code error;
+    asio::async_read(stream, asio::buffer(&length, sizeof(length)), use_fiber(error));
+    if (error) {
+        throw exchange_incomplete("reading from a peer: " + error.message());
+    }
+    boost::endian::big_to_native_inplace(length);
+    if (length > max_frame_bytes) {
+        throw malformed_message("a peer announced a frame of " + std::to_string(length) + " bytes");
+    }
+    std::string bytes(length, '\0');
+    asio::async_read(stream, asio::buffer(bytes), use_fiber(error));
+    if (error) {
+        throw exchange_incomplete("reading from a peer: " + error.message());
+    }
+    return bytes;
+}
+
+} // namespace
+
+peer_result peer_wait::wait_until(steady_time deadline) {
+    std::unique_lock lock(m_mutex);
+    m_done.wait_until(lock, deadline, [&] { return m_result.has_value(); });
+    return m_result.value_or(peer_result::no_answer);
+}
+
+void peer_wait::complete(peer_result result, std::string payload) {
+    if (!m_result) {
+        m_result = result;
+        m_payload = std::move(payload);
+        m_done.notify_all();
+    }
+}
+
+peer_link::peer_link(io_thread& thread, instance_id self, instance_entry peer,
+                     std::atomic<std::uint64_t> const& stored)
+    : m_thread(thread), m_self(self), m_peer(std::move(peer)), m_stored(stored), m_stream(thread.io()) {}
+
+std::shared_ptr<peer_wait> peer_link::add_wait(std::uint64_t sequence) {
+    auto wait = std::make_shared<peer_wait>();
+    if (m_closed) {
+        wait->complete(peer_result::no_answer);
+        return wait;
+    }
+    m_waits.emplace(sequence, wait);
+    m_wake.notify_one();
+    return wait;
+}
+
+std::shared_ptr<peer_wait> peer_link::send(claim_message message) {
+    message.sequence = m_next_sequence++;
+    auto wait = add_wait(message.sequence);
+    if (!m_closed) {
+        m_outbox.claims.push_back(std::move(message));
+    }
+    return wait;
+}
+
+std::shared_ptr<peer_wait> peer_link::send(record_message message) {
+    message.sequence = m_next_sequence++;
+    auto wait = add_wait(message.sequence);
+    if (!m_closed) {
+        m_outbox.records.push_back(std::move(message));
+    }
+    return wait;
+}
+
+std::shared_ptr<peer_wait> peer_link::send(tables_request message) {
+    message.sequence = m_next_sequence++;
+    auto wait = add_wait(message.sequence);
+    if (!m_closed) {
+        m_outbox.tables.push_back(message);
+    }
+    return wait;
+}
+
+void peer_link::post(outcome_message message) {
+    if (!m_closed) {
+        m_outbox.outcomes.push_back(std::move(message));
+        m_wake.notify_one();
+    }
+}
+
+void peer_link::post(record_message message) {
+    message.sequence = 0;
+    if (!m_closed) {
+        m_outbox.records.push_back(std::move(message));
+        m_wake.notify_one();
+    }
+}
+
+void peer_link::post(load_message message) {
+    if (!m_closed) {
+        m_outbox.loads.push_back(std::move(message));
+        m_wake.notify_one();
+    }
+}
+
+void peer_link::start() {
+    m_thread.spawn([self = shared_from_this()] { self->run(); });
+}
+
+void peer_link::run() {
+    try {
+        connect();
+        m_thread.spawn([self = shared_from_this()] { self->read_loop(); });
+        write_loop();
+    } catch (error const& failure) {
+        log_line(log_level::warning, "peer_link_broken")
+            .field("peer", format_instance(m_peer.id))
+            .field("reason", failure.what())
+            .write();
+    }
+    close();
+}
+
+void peer_link::connect() {
+    boost::system::error_code error;
+    m_stream.expires_after(connect_timeout);
+    m_stream.async_connect(to_asio(m_peer.peer_address), use_fiber(error));
+    if (error) {
+        throw connect_failed("connecting to peer " + to_string(m_peer.peer_address) + ": " + error.message());
+    }
+    configure_socket(m_stream.socket());
+    write_frame(m_stream, encode(peer_hello{.from = m_self, .to = m_peer.id}));
+    auto const hello = decode<peer_hello>(read_frame(m_stream));
+    if (hello.from != m_peer.id) {
+        throw connect_failed("another start of the instance answers at " + to_string(m_peer.peer_address));
+    }
+    m_stream.expires_never();
+}
+
+void peer_link::read_loop() {
+    try {
+        while (!m_closed) {
+            auto reply = decode<peer_reply>(read_frame(m_stream));
+            for (auto& ack : reply.acks) {
+                auto const found = m_waits.find(ack.sequence);
+                if (found == m_waits.end()) {
+                    continue;
+                }
+                found->second->complete(ack.accepted ? peer_result::accepted : peer_result::refused,
+                                        std::move(ack.payload));
+                m_waits.erase(found);
+            }
+        }
+    } catch (error const&) {
+        close();
+    }
+}
+
+void peer_link::write_loop() {
+    while (!m_closed) {
+        if (m_outbox.empty()) {
+            std::unique_lock lock(m_mutex);
+            m_wake.wait(lock, [&] { return m_closed || !m_outbox.empty(); });
+            continue;
+        }
+        m_writing = true;
+        auto batch = std::exchange(m_outbox, peer_batch{});
+        batch.stored_through = m_stored.load();
+        write_frame(m_stream, encode(batch));
+        m_writing = false;
+    }
+}
+
+void peer_link::close() {
+    if (m_closed) {
+        return;
+    }
+    m_closed = true;
+    m_stream.close();
+    for (auto& [sequence, wait] : m_waits) {
+        wait->complete(peer_result::no_answer);
+    }
+    m_waits.clear();
+    m_wake.notify_all();
+}
+
+peer_links::peer_links(io_thread& thread, instance_id self, std::atomic<std::uint64_t> const& stored)
+    : m_thread(thread), m_self(self), m_stored(stored) {}
+
+std::shared_ptr<peer_link> peer_links::to(instance_entry const& peer) {
+    auto& link = m_links[peer.id];
+    if (link == nullptr || link->is_closed()) {
+        link = std::make_shared<peer_link>(m_thread, m_self, peer, m_stored);
+        link->start();
+    }
+    return link;
+}
+
+void peer_links::retain(std::set<instance_id> const& alive) {
+    for (auto it = m_links.begin(); it != m_links.end();) {
+        if (alive.contains(it->first)) {
+            ++it;
+            continue;
+        }
+        it->second->close();
+        it = m_links.erase(it);
+    }
+}
+
+void peer_links::close_all() {
+    retain({});
+}
+
+bool peer_links::are_flushed() const {
+    for (auto const& [id, link] : m_links) {
+        if (!link->is_closed() && !link->is_flushed()) {
+            return false;
+        }
+    }
+    return true;
+}
+
+peer_server::peer_server(io_thread& thread, endpoint const& address, instance_id self, handler handle)
+    : m_thread(thread), m_self(self), m_handle(std::move(handle)), m_acceptor(thread.io()) {
+    auto const local = to_asio(address);
+    try {
+        m_acceptor.open(local.protocol());
+        m_acceptor.set_option(asio::socket_base::reuse_address(true));
+        m_acceptor.bind(local);
+        m_acceptor.listen();
+    } catch (boost::system::system_error const& failure) {
+        throw connect_failed("listening on " + to_string(address) + ": " + failure.code().message());
+    }
+}
+
+void peer_server::start() {
+    m_thread.spawn([this] { accept_loop(); });
+}
+
+endpoint peer_server::local_address() const {
+    auto const local = m_acceptor.local_endpoint();
+    return {local.address().to_string(), local.port()};
+}
+
+void peer_server::accept_loop() {
+    while (!m_stopped) {
+        boost::system::error_code error;
+        auto socket = m_acceptor.async_accept(use_fiber(error));
+        if (m_stopped) {
+            return;
+        }
+        if (error) {
+            boost::this_fiber::sleep_for(accept_failure_pause);
+            continue;
+        }
+        configure_socket(socket);
+        auto stream = std::make_shared<beast::tcp_stream>(std::move(socket));
+        m_thread.spawn([this, stream] {
+            m_streams.insert(stream.get());
+            serve(*stream);
+            m_streams.erase(stream.get());
+        });
+    }
+}
+
+void peer_server::serve(beast::tcp_stream& stream) {
+    try {
+        stream.expires_after(connect_timeout);
+        auto const hello = decode<peer_hello>(read_frame(stream));
+        write_frame(stream, encode(peer_hello{.from = m_self, .to = hello.from}));
+        if (hello.to != m_self) {
+            return;
+        }
+        // The socket's user timeout and keep-alive bound every later wait.
+        stream.expires_never();
+        while (!m_stopped) {
+            auto const reply = m_handle(hello.from, decode<peer_batch>(read_frame(stream)));
+            if (!reply.acks.empty()) {
+                write_frame(stream, encode(reply));
+            }
+        }
+    } catch (error const& failure) {
+        log_line(log_level::info, "peer_link_ended").field("reason", failure.what()).write();
+    }
+}
+
+void peer_server::stop() {
+    m_stopped = true;
+    boost::system::error_code ignored;
+    m_acceptor.close(ignored);
+    for (auto* stream : m_streams) {
+        stream->close();
+    }
+}
+
+} // namespace pomelospread
--- /dev/null
+++ b/Libraries/Protocol/protocol/peer_messages.hpp
@@ -0,0 +1,91 @@
+// The messages between instances. Frames of the TCP link and UDP heartbeats are encoded with cereal.
+#pragma once
+
+#include "coordination/claim_window.hpp"
+#include "coordination/membership.hpp"
+#include "state/account_record.hpp"
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace pomelospread {
+
+/// First frame of a link, from either side: who speaks, and to which start of the other side.
+struct peer_hello {
+    instance_id from = 0;
+    instance_id to = 0;
+};
+
+/// Asks the witness to grant a claim and to keep a copy of the account record.
+struct claim_message {
+    std::uint64_t sequence = 0; ///< Answered by `message_ack::sequence`.
+    std::string key;
+    key_epoch epoch = 0;
+    std::uint64_t record_sequence = 0; ///< 0 when the journal was full.
+    account_record record;
+};
+
+/// Asks a partner to keep a copy of an account record.
+struct record_message {
+    std::uint64_t sequence = 0; ///< 0 asks for no answer.
+    std::uint64_t record_sequence = 0;
+    account_record record;
+};
+
+/// Tells the witness how a claimed request ended.
+struct outcome_message {
+    std::string key;
+    key_epoch epoch = 0;
+    request_outcome outcome;
+};
+
+/// Tells another home how many requests are in flight at targets of a pool.
+struct load_message {
+    std::string pool;
+    std::uint64_t tables_version = 0;
+    std::vector<std::uint16_t> in_flight; ///< By the target's position in the pool row.
+};
+
+/// Asks for the tables in force, for example by an instance that starts while the platform is away.
+struct tables_request {
+    std::uint64_t sequence = 0;
+};
+
+/// Everything that waited for the link, in one frame.
+struct peer_batch {
+    std::vector<claim_message> claims;
+    std::vector<record_message> records;
+    std::vector<outcome_message> outcomes;
+    std::vector<load_message> loads;
+    std::vector<tables_request> tables;
+    std::uint64_t stored_through = 0; ///< The sender's own records up to here are in the object store.
+
+    [[nodiscard]] bool empty() const noexcept {
+        return claims.empty() && records.empty() && outcomes.empty() && loads.empty() && tables.empty();
+    }
+};
+
+struct message_ack {
+    std::uint64_t sequence = 0;
+    bool accepted = false;
+    std::string payload; ///< The encoded tables in answer to a `tables_request`, else empty.
+};
+
+struct peer_reply {
+    std::vector<message_ack> acks;
+};
+
+/// Encodes a message; `decode` throws `malformed_message` when the bytes are not exactly one message.
+template<class Message>
+[[nodiscard]] std::string encode(Message const& message);
+template<class Message>
+[[nodiscard]] Message decode(std::string_view bytes);
+
+/// Largest frame of a link and largest heartbeat, in bytes.
+constexpr std::size_t max_frame_bytes = std::size_t{8} * 1024 * 1024;
+constexpr std::size_t max_datagram_bytes = 1400;
+
+} // namespace pomelospread
--- /dev/null
+++ b/Libraries/Protocol/protocol/platform_client.hpp
@@ -0,0 +1,55 @@
+// The platform's services over HTTP and JSON: the one adapter that a platform needs.
+#pragma once
+
+#include "coordination/platform.hpp"
+#include "protocol/http_connection.hpp"
+
+#include <chrono>
+
+namespace pomelospread {
+
+/// Speaks to the platform over one thread's io_context. Call from a fiber of that thread.
+class platform_client final : public table_service, public instance_list {
+public:
+    platform_client(boost::asio::io_context& io, endpoint address, std::chrono::milliseconds timeout);
+
+    [[nodiscard]] table_cell read(std::string_view key) override;
+    [[nodiscard]] std::vector<table_cell> list(std::string_view prefix) override;
+    void transact(std::span<table_condition const> conditions, std::span<table_write const> writes) override;
+
+    void announce(instance_entry const& entry) override;
+    void withdraw(instance_id id) override;
+    [[nodiscard]] std::vector<instance_entry> read() override;
+
+    [[nodiscard]] object_store& objects() noexcept { return m_objects; }
+
+private:
+    class object_half final : public object_store {
+    public:
+        explicit object_half(platform_client& client) : m_client(client) {}
+        void put(std::string_view name, std::string_view content) override;
+        [[nodiscard]] std::optional<std::string> get(std::string_view name) override;
+        [[nodiscard]] std::vector<std::string> list(std::string_view prefix) override;
+
+    private:
+        platform_client& m_client;
+    };
+
+    /// Throws `platform_unavailable` when nothing can have taken effect, else `platform_outcome_unknown`.
+    http_response call(boost::beast::http::verb method, std::string const& target, std::string body = {});
+    /// As `call` for a read: any failure is `platform_unavailable`.
+    http_response read_call(std::string const& target);
+
+    endpoint m_address;
+    std::chrono::milliseconds m_timeout;
+    connection_cache m_connections;
+    object_half m_objects;
+};
+
+/// Percent-encodes a query value (RFC 3986 section 2.1), and decodes it.
+[[nodiscard]] std::string encode_query(std::string_view value);
+[[nodiscard]] std::string decode_query(std::string_view value);
+/// The decoded value of `name` in the query of `target`, empty when it is absent.
+[[nodiscard]] std::string query_value(std::string_view target, std::string_view name);
+
+} // namespace pomelospread
--- /dev/null
+++ b/Libraries/State/state/account_journal.cpp
@@ -0,0 +1,192 @@
+#include "state/account_journal.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <sstream>
+
+namespace pomelospread {
+
+namespace {
+
+nlohmann::json to_json(account_record const& record) {
+    return {{"id", record.id},           {"customer", record.customer}, {"key", record.key},
+            {"unix_ms", record.unix_ms}, {"method", record.method},     {"path", record.path},
+            {"route", record.route},     {"target", record.target},     {"outcome", record.outcome},
+            {"status", record.status}};
+}
+
+account_record record_from_json(nlohmann::json const& line) {
+    account_record record;
+    line.at("id").get_to(record.id);
+    line.at("customer").get_to(record.customer);
+    line.at("key").get_to(record.key);
+    line.at("unix_ms").get_to(record.unix_ms);
+    line.at("method").get_to(record.method);
+    line.at("path").get_to(record.path);
+    line.at("route").get_to(record.route);
+    line.at("target").get_to(record.target);
+    line.at("outcome").get_to(record.outcome);
+    line.at("status").get_to(record.status);
+    return record;
+}
+
+void set_time_range(account_segment& segment) {
+    auto const [oldest, newest] = std::ranges::minmax(segment.records, {}, &account_record::unix_ms);
+    segment.oldest_unix_ms = oldest.unix_ms;
+    segment.newest_unix_ms = newest.unix_ms;
+}
+
+} // namespace
+
+std::string encode_segment(account_segment const& segment) {
+    nlohmann::json const header{{"owner", segment.owner},
+                                {"first_sequence", segment.first_sequence},
+                                {"last_sequence", segment.last_sequence},
+                                {"final", segment.final},
+                                {"recovered", segment.recovered},
+                                {"oldest_unix_ms", segment.oldest_unix_ms},
+                                {"newest_unix_ms", segment.newest_unix_ms}};
+    std::string text = header.dump() + "\n";
+    for (auto const& record : segment.records) {
+        // A path may hold bytes that are not UTF-8; they are replaced rather than lost with the line.
+        text += to_json(record).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+    }
+    return text;
+}
+
+account_segment decode_segment(std::string_view text) {
+    try {
+        std::istringstream lines{std::string(text)};
+        std::string line;
+        std::getline(lines, line);
+        auto const header = nlohmann::json::parse(line);
+        account_segment segment;
+        header.at("owner").get_to(segment.owner);
+        header.at("first_sequence").get_to(segment.first_sequence);
+        header.at("last_sequence").get_to(segment.last_sequence);
+        header.at("final").get_to(segment.final);
+        header.at("recovered").get_to(segment.recovered);
+        header.at("oldest_unix_ms").get_to(segment.oldest_unix_ms);
+        header.at("newest_unix_ms").get_to(segment.newest_unix_ms);
+        while (std::getline(lines, line)) {
+            segment.records.push_back(record_from_json(nlohmann::json::parse(line)));
+        }
+        return segment;
+    } catch (nlohmann::json::exception const& failure) {
+        throw malformed_message(std::string("account segment cannot be read: ") + failure.what());
+    }
+}
+
+std::string segment_name(account_segment const& segment) {
+    std::array<char, 128> text{};
+    std::snprintf(text.data(), text.size(), "accounts/%s/%016llx/%012llu-%012llu",
+                  segment.recovered ? "recovered" : "own", static_cast<unsigned long long>(segment.owner),
+                  static_cast<unsigned long long>(segment.first_sequence),
+                  static_cast<unsigned long long>(segment.last_sequence));
+    return text.data();
+}
+
+account_journal::account_journal(std::uint64_t self, std::size_t capacity)
+    : m_self(self), m_capacity(capacity) {}
+
+std::optional<std::uint64_t> account_journal::append(account_record record) {
+    if (size() >= m_capacity) {
+        return std::nullopt;
+    }
+    m_own.push_back(std::move(record));
+    return m_next_sequence++;
+}
+
+bool account_journal::complete(std::uint64_t sequence, account_record record) {
+    if (sequence > m_stored_through) {
+        m_own[sequence - m_stored_through - 1] = std::move(record);
+        return true;
+    }
+    // The stored copy has no outcome; the merge at export prefers this one. It may exceed the capacity by
+    // the number of requests in progress, which admission bounds.
+    m_own.push_back(std::move(record));
+    ++m_next_sequence;
+    return false;
+}
+
+std::optional<account_segment> account_journal::next_segment(std::size_t max_records, bool final) const {
+    if (m_own.empty() && !final) {
+        return std::nullopt;
+    }
+    account_segment segment;
+    segment.owner = m_self;
+    segment.first_sequence = m_stored_through + 1;
+    auto const count = std::min(max_records, m_own.size());
+    segment.last_sequence = m_stored_through + count;
+    segment.final = final && count == m_own.size();
+    segment.records.assign(m_own.begin(), m_own.begin() + static_cast<std::ptrdiff_t>(count));
+    if (!segment.records.empty()) {
+        set_time_range(segment);
+    }
+    return segment;
+}
+
+void account_journal::stored(std::uint64_t last_sequence) {
+    while (m_stored_through < last_sequence && !m_own.empty()) {
+        m_own.pop_front();
+        ++m_stored_through;
+    }
+}
+
+bool account_journal::keep_copy(std::uint64_t owner, std::uint64_t sequence, account_record record) {
+    auto& copies = m_copies[owner];
+    if (auto const found = copies.find(sequence); found != copies.end()) {
+        found->second = std::move(record);
+        return true;
+    }
+    if (size() >= m_capacity) {
+        return false;
+    }
+    copies.emplace(sequence, std::move(record));
+    ++m_copies_held;
+    return true;
+}
+
+void account_journal::drop_copies(std::uint64_t owner, std::uint64_t last_sequence) {
+    auto const found = m_copies.find(owner);
+    if (found == m_copies.end()) {
+        return;
+    }
+    auto& copies = found->second;
+    auto const end = copies.upper_bound(last_sequence);
+    m_copies_held -= static_cast<std::size_t>(std::distance(copies.begin(), end));
+    copies.erase(copies.begin(), end);
+    if (copies.empty()) {
+        m_copies.erase(found);
+    }
+}
+
+std::optional<account_segment> account_journal::orphans(std::uint64_t owner) const {
+    auto const found = m_copies.find(owner);
+    if (found == m_copies.end()) {
+        return std::nullopt;
+    }
+    account_segment segment;
+    segment.owner = owner;
+    segment.recovered = true;
+    segment.first_sequence = found->second.begin()->first;
+    segment.last_sequence = found->second.rbegin()->first;
+    for (auto const& [sequence, record] : found->second) {
+        segment.records.push_back(record);
+    }
+    set_time_range(segment);
+    return segment;
+}
+
+std::vector<std::uint64_t> account_journal::owners() const {
+    std::vector<std::uint64_t> result;
+    for (auto const& [owner, copies] : m_copies) {
+        result.push_back(owner);
+    }
+    return result;
+}
+
+} // namespace pomelospread
--- /dev/null
+++ b/Libraries/State/state/tables.cpp
@@ -0,0 +1,168 @@
+#include "state/tables.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace pomelospread {
+
+namespace {
+
+bool is_name_character(char c) {
+    return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-' || c == '_';
+}
+
+bool is_name(std::string_view text) {
+    return !text.empty() && text.size() <= table_limits::max_name_characters &&
+           std::ranges::all_of(text, is_name_character);
+}
+
+class checker {
+public:
+    explicit checker(tables const& value) : m_tables(value) {}
+
+    std::vector<field_problem> run() {
+        for (auto const& pool : m_tables.pools) {
+            check_pool(pool);
+        }
+        for (auto const& route : m_tables.routes) {
+            check_route(route);
+        }
+        return std::move(m_problems);
+    }
+
+private:
+    void add(std::string field, std::string problem, std::string allowed) {
+        m_problems.push_back(
+            {.field = std::move(field), .problem = std::move(problem), .allowed = std::move(allowed)});
+    }
+
+    void check_integer(std::string const& row, std::string_view field, std::int64_t value, std::int64_t low,
+                       std::int64_t high) {
+        if (value < low || value > high) {
+            add(row + "." + std::string(field), std::to_string(value) + " is out of range",
+                std::to_string(low) + " to " + std::to_string(high));
+        }
+    }
+
+    void check_name(std::string const& kind, std::string const& name, std::set<std::string>& seen) {
+        if (!is_name(name)) {
+            add(kind + ".name", "\"" + name + "\" is not a name",
+                "1 to 64 characters of a-z, 0-9, '-' and '_'");
+        }
+        if (!seen.insert(name).second) {
+            add(kind + ".name", "\"" + name + "\" stands twice", "each name once");
+        }
+    }
+
+    void check_pool(pool_row const& pool) {
+        check_name("pool", pool.name, m_pool_names);
+        auto const row = "pool \"" + pool.name + "\"";
+        check_integer(row, "slots_per_target", pool.slots_per_target, 1, table_limits::max_slots);
+        check_integer(row, "connections_per_target", pool.connections_per_target, 1,
+                      table_limits::max_connections);
+        check_integer(row, "homes", pool.homes, 1, table_limits::max_homes);
+        if (!(pool.probes_per_second >= 0.0 &&
+              pool.probes_per_second <= table_limits::max_probes_per_second)) {
+            add(row + ".probes_per_second", std::to_string(pool.probes_per_second) + " is out of range",
+                "0 to 1000");
+        }
+        std::set<endpoint> addresses;
+        for (auto const& target : pool.targets) {
+            check_target(row, target, addresses);
+        }
+    }
+
+    void check_target(std::string const& row, target_row const& target, std::set<endpoint>& addresses) {
+        if (target.address.port == 0) {
+            add(row + ".target.address", to_string(target.address) + " has port 0", "port 1 to 65535");
+        }
+        if (!is_name(target.zone)) {
+            add(row + ".target.zone", "\"" + target.zone + "\" is not a name",
+                "1 to 64 characters of a-z, 0-9, '-' and '_'");
+        }
+        if (!addresses.insert(target.address).second) {
+            add(row + ".target.address", to_string(target.address) + " stands twice", "each address once");
+        }
+    }
+
+    void check_route(route_row const& route) {
+        check_name("route", route.name, m_route_names);
+        auto const row = "route \"" + route.name + "\"";
+        if (!route.path_prefix.starts_with('/') || route.path_prefix.starts_with("/.pomelospread")) {
+            add(row + ".path_prefix", "\"" + route.path_prefix + "\" is not allowed",
+                "begins with '/', but not with '/.pomelospread'");
+        }
+        check_integer(row, "deadline_ms", route.deadline.count(), 1, table_limits::max_deadline_ms);
+        check_integer(row, "customer_concurrency", route.customer_concurrency, 1,
+                      table_limits::max_customer_concurrency);
+        if (m_tables.find_pool(route.pool) == nullptr) {
+            add(row + ".pool", "no pool has the name \"" + route.pool + "\"", "the name of a pool row");
+        }
+        check_methods(row, route);
+    }
+
+    void check_methods(std::string const& row, route_row const& route) {
+        static std::set<std::string> const s_known{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"};
+        if (route.methods.empty()) {
+            add(row + ".methods", "is empty", "at least one of GET, HEAD, POST, PUT, PATCH, DELETE");
+        }
+        for (auto const& method : route.methods) {
+            if (!s_known.contains(method)) {
+                add(row + ".methods", "\"" + method + "\" is not a method",
+                    "GET, HEAD, POST, PUT, PATCH, DELETE");
+            }
+            if (!m_matches.emplace(method, route.path_prefix).second) {
+                add(row + ".path_prefix", "another route has the same prefix and method " + method,
+                    "each pair of prefix and method once");
+            }
+        }
+    }
+
+    tables const& m_tables;
+    std::set<std::string> m_pool_names;
+    std::set<std::string> m_route_names;
+    std::set<std::pair<std::string, std::string>> m_matches;
+    std::vector<field_problem> m_problems;
+};
+
+bool matches_prefix(std::string_view path, std::string_view prefix) {
+    if (!path.starts_with(prefix)) {
+        return false;
+    }
+    return prefix.ends_with('/') || path.size() == prefix.size() || path[prefix.size()] == '/' ||
+           path[prefix.size()] == '?';
+}
+
+} // namespace
+
+route_row const* tables::find_route(std::string_view method, std::string_view path) const noexcept {
+    route_row const* best = nullptr;
+    for (auto const& route : routes) {
+        if (!matches_prefix(path, route.path_prefix) ||
+            std::ranges::find(route.methods, method) == route.methods.end()) {
+            continue;
+        }
+        if (best == nullptr || route.path_prefix.size() > best->path_prefix.size()) {
+            best = &route;
+        }
+    }
+    return best;
+}
+
+pool_row const* tables::find_pool(std::string_view name) const noexcept {
+    auto const found = std::ranges::find_if(pools, [&](pool_row const& pool) { return pool.name == name; });
+    return found == pools.end() ? nullptr : &*found;
+}
+
+std::vector<field_problem> check_tables(tables const& value) {
+    return checker(value).run();
+}
+
+void require_valid(tables const& value) {
+    auto problems = check_tables(value);
+    if (!problems.empty()) {
+        throw invalid_input(std::move(problems));
+    }
+}
+
+} // namespace pomelospread
--- /dev/null
+++ b/Libraries/State/state/tables.hpp
@@ -0,0 +1,78 @@
+// The two tables that operators edit: routes and pools, joined by the pool's name.
+#pragma once
+
+#include "base/endpoint.hpp"
+#include "base/errors.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace pomelospread {
+
+/// One row of the routes table: which requests go to which pool, and how.
+struct route_row {
+    std::string name;
+    std::string path_prefix;          ///< Begins with '/'; the longest matching prefix wins.
+    std::vector<std::string> methods; ///< Upper-case HTTP methods.
+    std::string pool;
+    bool idempotent = false; ///< RFC 9110 section 9.2.2; decides retries, hedges and claims.
+    std::chrono::milliseconds deadline{2000};
+    bool hedge = true;                      ///< Only looked at when `idempotent`.
+    std::int64_t customer_concurrency = 64; ///< Requests of one customer in progress at one instance.
+
+    bool operator==(route_row const&) const = default;
+};
+
+/// One member of a pool.
+struct target_row {
+    endpoint address;
+    std::string zone;
+    bool leaving = false; ///< A leaving target receives no new request.
+
+    auto operator<=>(target_row const&) const = default;
+};
+
+/// One row of the pools table: a service's targets and the limits agreed for them.
+struct pool_row {
+    std::string name;
+    std::int64_t slots_per_target = 1;
+    std::int64_t connections_per_target = 100; ///< Of the whole fleet.
+    double probes_per_second = 0.0;            ///< Agreed probe budget of one target, of the whole fleet.
+    std::int64_t homes = 2;                    ///< Instances that callers are sent to for this pool.
+    std::vector<target_row> targets;
+
+    bool operator==(pool_row const&) const = default;
+};
+
+/// Both tables under one version number; a version is never changed once accepted.
+struct tables {
+    std::uint64_t version = 0;
+    std::vector<route_row> routes;
+    std::vector<pool_row> pools;
+
+    /// Finds the row whose method matches and whose prefix is the longest match, or nullptr.
+    [[nodiscard]] route_row const* find_route(std::string_view method, std::string_view path) const noexcept;
+    [[nodiscard]] pool_row const* find_pool(std::string_view name) const noexcept;
+};
+
+/// The allowed range of each limited field.
+struct table_limits {
+    static constexpr std::int64_t max_slots = 4096;
+    static constexpr std::int64_t max_connections = 65536;
+    static constexpr std::int64_t max_homes = 64;
+    static constexpr std::int64_t max_deadline_ms = 600000;
+    static constexpr std::int64_t max_customer_concurrency = 100000;
+    static constexpr double max_probes_per_second = 1000.0;
+    static constexpr std::size_t max_name_characters = 64;
+};
+
+/// Checks every row and the joint validity of both tables; returns every problem found.
+[[nodiscard]] std::vector<field_problem> check_tables(tables const& value);
+
+/// Throws `invalid_input` with every problem when `check_tables` finds any.
+void require_valid(tables const& value);
+
+} // namespace pomelospread
--- /dev/null
+++ b/Libraries/State/state/tables_toml.cpp
@@ -0,0 +1,265 @@
+#include "state/tables_toml.hpp"
+
+#include <toml++/toml.h>
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <set>
+#include <sstream>
+
+namespace pomelospread {
+
+namespace {
+
+/// Where each row stands, so that a problem found by `check_tables` can be given its line.
+using row_lines = std::map<std::string, std::pair<std::string, std::size_t>>;
+
+class file_reader {
+public:
+    file_reader(declared_file const& file, std::vector<field_problem>& problems, row_lines& lines)
+        : m_file(file), m_problems(problems), m_lines(lines) {}
+
+    void read_routes(tables& into) {
+        for_each_row("route", [&](toml::table const& row, std::string const& where) {
+            into.routes.push_back(read_route(row, where));
+        });
+    }
+
+    void read_pools(tables& into) {
+        for_each_row("pool", [&](toml::table const& row, std::string const& where) {
+            into.pools.push_back(read_pool(row, where));
+        });
+    }
+
+private:
+    void add(std::size_t line, std::string field, std::string problem, std::string allowed) {
+        m_problems.push_back({.file = m_file.name,
+                              .line = line,
+                              .field = std::move(field),
+                              .problem = std::move(problem),
+                              .allowed = std::move(allowed)});
+    }
+
+    template<class Read>
+    void for_each_row(std::string const& kind, Read read) {
+        auto const document = parse();
+        if (!document) {
+            return;
+        }
+        check_known(*document, m_file.name, {kind});
+        auto const* node = document->get(kind);
+        if (node == nullptr) {
+            return;
+        }
+        auto const* rows = node->as_array();
+        if (rows == nullptr) {
+            add(node->source().begin.line, kind, "is not an array of tables", "[[" + kind + "]]");
+            return;
+        }
+        for (auto const& element : *rows) {
+            auto const* row = element.as_table();
+            if (row == nullptr) {
+                add(element.source().begin.line, kind, "is not a table", "[[" + kind + "]]");
+                continue;
+            }
+            auto const where = kind + " \"" + (*row)["name"].value_or(std::string()) + "\"";
+            m_lines.emplace(where, std::pair(m_file.name, row->source().begin.line));
+            read(*row, where);
+        }
+    }
+
+    std::optional<toml::table> parse() {
+        try {
+            return toml::parse(m_file.text, m_file.name);
+        } catch (toml::parse_error const& failure) {
+            add(failure.source().begin.line, "syntax", std::string(failure.description()), "TOML 1.0");
+            return std::nullopt;
+        }
+    }
+
+    void check_known(toml::table const& row, std::string const& where, std::set<std::string> const& known) {
+        for (auto const& [key, node] : row) {
+            if (known.contains(std::string(key.str()))) {
+                continue;
+            }
+            std::string allowed;
+            for (auto const& name : known) {
+                allowed += (allowed.empty() ? "" : ", ") + name;
+            }
+            add(node.source().begin.line, where + "." + std::string(key.str()), "no such field", allowed);
+        }
+    }
+
+    template<class Value>
+    void read_field(toml::table const& row, std::string const& where, char const* name, Value& into,
+                    bool required, char const* type) {
+        auto const* node = row.get(name);
+        if (node == nullptr) {
+            if (required) {
+                add(row.source().begin.line, where + "." + name, "is missing", type);
+            }
+            return;
+        }
+        if (auto const value = node->value<Value>(); value) {
+            into = *value;
+            return;
+        }
+        add(node->source().begin.line, where + "." + name, "has the wrong type", type);
+    }
+
+    route_row read_route(toml::table const& row, std::string const& where) {
+        check_known(row, where,
+                    {"name", "path_prefix", "methods", "pool", "idempotent", "deadline_ms", "hedge",
+                     "customer_concurrency"});
+        route_row route;
+        std::int64_t deadline_ms = route.deadline.count();
+        read_field(row, where, "name", route.name, true, "string");
+        read_field(row, where, "path_prefix", route.path_prefix, true, "string");
+        read_field(row, where, "pool", route.pool, true, "string");
+        read_field(row, where, "idempotent", route.idempotent, true, "true or false");
+        read_field(row, where, "deadline_ms", deadline_ms, false, "integer, milliseconds");
+        read_field(row, where, "hedge", route.hedge, false, "true or false");
+        read_field(row, where, "customer_concurrency", route.customer_concurrency, false, "integer");
+        route.deadline = std::chrono::milliseconds(deadline_ms);
+        read_methods(row, where, route);
+        return route;
+    }
+
+    void read_methods(toml::table const& row, std::string const& where, route_row& route) {
+        auto const* list = row.get_as<toml::array>("methods");
+        if (list == nullptr) {
+            add(row.source().begin.line, where + ".methods", "is missing or not a list", "list of strings");
+            return;
+        }
+        for (auto const& element : *list) {
+            route.methods.push_back(element.value_or(std::string("(not a string)")));
+        }
+    }
+
+    pool_row read_pool(toml::table const& row, std::string const& where) {
+        check_known(
+            row, where,
+            {"name", "slots_per_target", "connections_per_target", "probes_per_second", "homes", "target"});
+        pool_row pool;
+        read_field(row, where, "name", pool.name, true, "string");
+        read_field(row, where, "slots_per_target", pool.slots_per_target, true, "integer");
+        read_field(row, where, "connections_per_target", pool.connections_per_target, false, "integer");
+        read_field(row, where, "probes_per_second", pool.probes_per_second, false, "number");
+        read_field(row, where, "homes", pool.homes, false, "integer");
+        if (auto const* targets = row.get_as<toml::array>("target"); targets != nullptr) {
+            for (auto const& element : *targets) {
+                read_target(element, where, pool);
+            }
+        } else if (row.get("target") != nullptr) {
+            add(row.get("target")->source().begin.line, where + ".target", "is not an array of tables",
+                "[[pool.target]]");
+        }
+        return pool;
+    }
+
+    void read_target(toml::node const& element, std::string const& pool_where, pool_row& pool) {
+        auto const where = pool_where + ".target";
+        auto const* row = element.as_table();
+        if (row == nullptr) {
+            add(element.source().begin.line, where, "is not a table", "[[pool.target]]");
+            return;
+        }
+        check_known(*row, where, {"address", "zone", "leaving"});
+        target_row target;
+        std::string address;
+        read_field(*row, where, "address", address, true, "string");
+        read_field(*row, where, "zone", target.zone, true, "string");
+        read_field(*row, where, "leaving", target.leaving, false, "true or false");
+        try {
+            target.address = parse_endpoint(address, where + ".address");
+        } catch (invalid_input const& failure) {
+            auto problem = failure.problems().front();
+            add(row->source().begin.line, problem.field, problem.problem, problem.allowed);
+            return;
+        }
+        pool.targets.push_back(std::move(target));
+    }
+
+    declared_file const& m_file;
+    std::vector<field_problem>& m_problems;
+    row_lines& m_lines;
+};
+
+void add_positions(std::vector<field_problem>& problems, row_lines const& lines) {
+    for (auto& problem : problems) {
+        auto const row = problem.field.substr(0, problem.field.rfind("\".") + 1);
+        if (auto const found = lines.find(row); found != lines.end()) {
+            problem.file = found->second.first;
+            problem.line = found->second.second;
+        }
+    }
+}
+
+std::string quoted(std::string_view text) {
+    std::ostringstream stream;
+    stream << toml::value<std::string>(std::string(text));
+    return stream.str();
+}
+
+template<class Row>
+std::vector<Row> sorted_by_name(std::vector<Row> rows) {
+    std::ranges::sort(rows, {}, &Row::name);
+    return rows;
+}
+
+} // namespace
+
+tables read_tables(declared_file const& routes, declared_file const& pools) {
+    tables result;
+    std::vector<field_problem> problems;
+    row_lines lines;
+    file_reader(routes, problems, lines).read_routes(result);
+    file_reader(pools, problems, lines).read_pools(result);
+    if (problems.empty()) {
+        problems = check_tables(result);
+        add_positions(problems, lines);
+    }
+    if (!problems.empty()) {
+        throw invalid_input(std::move(problems));
+    }
+    return result;
+}
+
+std::string write_routes(tables const& value) {
+    std::ostringstream text;
+    for (auto const& route : sorted_by_name(value.routes)) {
+        text << "[[route]]\nname = " << quoted(route.name) << "\npath_prefix = " << quoted(route.path_prefix)
+             << "\nmethods = [";
+        for (std::size_t i = 0; i < route.methods.size(); ++i) {
+            text << (i == 0 ? "" : ", ") << quoted(route.methods[i]);
+        }
+        text << "]\npool = " << quoted(route.pool)
+             << "\nidempotent = " << (route.idempotent ? "true" : "false")
+             << "\ndeadline_ms = " << route.deadline.count()
+             << "\nhedge = " << (route.hedge ? "true" : "false")
+             << "\ncustomer_concurrency = " << route.customer_concurrency << "\n\n";
+    }
+    return text.str();
+}
+
+std::string write_pools(tables const& value) {
+    std::ostringstream text;
+    for (auto const& pool : sorted_by_name(value.pools)) {
+        text << "[[pool]]\nname = " << quoted(pool.name) << "\nslots_per_target = " << pool.slots_per_target
+             << "\nconnections_per_target = " << pool.connections_per_target
+             << "\nprobes_per_second = " << toml::value<double>(pool.probes_per_second)
+             << "\nhomes = " << pool.homes << "\n";
+        auto targets = pool.targets;
+        std::ranges::sort(targets);
+        for (auto const& target : targets) {
+            text << "[[pool.target]]\naddress = " << quoted(to_string(target.address))
+                 << "\nzone = " << quoted(target.zone)
+                 << "\nleaving = " << (target.leaving ? "true" : "false") << "\n";
+        }
+        text << "\n";
+    }
+    return text.str();
+}
+
+} // namespace pomelospread
--- /dev/null
+++ b/Libraries/Transport/transport/fiber_scheduler.cpp
@@ -0,0 +1,51 @@
+#include "transport/fiber_scheduler.hpp"
+
+#include <boost/asio/post.hpp>
+
+namespace pomelospread {
+
+namespace fibers = boost::fibers;
+
+fiber_scheduler::fiber_scheduler(boost::asio::io_context& io) : m_io(io) {}
+
+void fiber_scheduler::awakened(fibers::context* fiber) noexcept {
+    if (!fiber->is_context(fibers::type::dispatcher_context)) {
+        ++m_ready_workers;
+    }
+    fiber->ready_link(m_ready);
+}
+
+fibers::context* fiber_scheduler::pick_next() noexcept {
+    // Handlers may wake the very fiber that is about to suspend, which must not resume itself; on the
+    // dispatcher's stack no such fiber exists.
+    if (fibers::context::active()->is_context(fibers::type::dispatcher_context)) {
+        m_io.poll();
+    }
+    if (m_ready.empty()) {
+        return nullptr;
+    }
+    auto* const fiber = &m_ready.front();
+    m_ready.pop_front();
+    if (!fiber->is_context(fibers::type::dispatcher_context)) {
+        --m_ready_workers;
+    }
+    return fiber;
+}
+
+bool fiber_scheduler::has_ready_fibers() const noexcept {
+    return m_ready_workers > 0;
+}
+
+void fiber_scheduler::suspend_until(std::chrono::steady_clock::time_point const& wake_up) noexcept {
+    if (wake_up == (std::chrono::steady_clock::time_point::max)()) {
+        m_io.run_one();
+        return;
+    }
+    m_io.run_one_until(wake_up);
+}
+
+void fiber_scheduler::notify() noexcept {
+    boost::asio::post(m_io, [] {});
+}
+
+} // namespace pomelospread
--- /dev/null
+++ b/Libraries/Transport/transport/io_thread.cpp
@@ -0,0 +1,61 @@
+#include "transport/io_thread.hpp"
+
+#include "transport/fiber_scheduler.hpp"
+
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/mutex.hpp>
+#include <boost/fiber/operations.hpp>
+
+#include <pthread.h>
+#include <urcu/urcu-memb.h>
+
+#include <mutex>
+
+namespace pomelospread {
+
+io_thread::io_thread(std::string name)
+    : m_name(std::move(name)), m_guard(boost::asio::make_work_guard(m_io)), m_thread([this] { run(); }) {}
+
+io_thread::~io_thread() {
+    stop();
+}
+
+void io_thread::stop() {
+    if (!m_thread.joinable()) {
+        return;
+    }
+    m_stopping = true;
+    boost::asio::post(m_io, [] {});
+    m_thread.join();
+}
+
+void io_thread::spawn(std::function<void()> work) {
+    m_live_fibers.fetch_add(1);
+    boost::asio::post(m_io, [this, work = std::move(work)]() mutable { start_fiber(std::move(work)); });
+}
+
+void io_thread::start_fiber(std::function<void()> work) {
+    boost::fibers::fiber(boost::fibers::launch::post, std::allocator_arg, pooled_stack{},
+                         [this, work = std::move(work)] {
+                             work();
+                             m_live_fibers.fetch_sub(1);
+                         })
+        .detach();
+}
+
+void io_thread::run() {
+    pthread_setname_np(pthread_self(), m_name.substr(0, 15).c_str());
+    urcu_memb_register_thread();
+    boost::fibers::use_scheduling_algorithm<fiber_scheduler>(m_io);
+    // The thread's first fiber only waits; the dispatcher fiber runs the io_context in the meantime.
+    constexpr auto stop_poll = std::chrono::milliseconds(50);
+    boost::fibers::mutex mutex;
+    boost::fibers::condition_variable stopped;
+    std::unique_lock lock(mutex);
+    while (!m_stopping || m_live_fibers.load() > 0) {
+        stopped.wait_for(lock, m_stopping ? stop_poll / 10 : stop_poll);
+    }
+    urcu_memb_unregister_thread();
+}
+
+} // namespace pomelospread
--- /dev/null
+++ b/Libraries/Transport/transport/io_thread.hpp
@@ -0,0 +1,54 @@
+// A thread that owns an io_context and the fibers that run on it.
+#pragma once
+
+#include "transport/pooled_stack.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/fiber/fiber.hpp>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <utility>
+
+namespace pomelospread {
+
+/// One thread, one io_context, its own fibers; a fiber never moves to another thread.
+class io_thread {
+public:
+    /// Starts the thread. `name` is shown by the system's thread listings (15 characters at most).
+    explicit io_thread(std::string name);
+    ~io_thread();
+
+    io_thread(io_thread const&) = delete;
+    io_thread& operator=(io_thread const&) = delete;
+
+    [[nodiscard]] boost::asio::io_context& io() noexcept { return m_io; }
+
+    /// Starts a fiber on this thread. Thread-safe. An exception that leaves `work` ends the process.
+    void spawn(std::function<void()> work);
+
+    /// Waits until every fiber has ended and joins the thread; the io_context stays, so that what its fibers
+    /// used can be destroyed afterwards. Not from a fiber of this thread.
+    void stop();
+
+    /// Fibers that were started and have not ended. Thread-safe.
+    [[nodiscard]] std::size_t live_fibers() const noexcept { return m_live_fibers.load(); }
+
+private:
+    void run();
+    void start_fiber(std::function<void()> work);
+
+    std::string m_name;
+    boost::asio::io_context m_io{1};
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_guard;
+    std::atomic<std::size_t> m_live_fibers{0};
+    std::atomic<bool> m_stopping{false};
+    std::thread m_thread;
+};
+
+} // namespace pomelospread
--- /dev/null
+++ b/Libraries/Transport/transport/pooled_stack.cpp
@@ -0,0 +1,46 @@
+#include "transport/pooled_stack.hpp"
+
+#include <vector>
+
+namespace pomelospread {
+
+namespace {
+
+struct free_stacks {
+    std::vector<boost::context::stack_context> stacks;
+    boost::context::protected_fixedsize_stack allocator{pooled_stack::stack_bytes};
+
+    ~free_stacks() {
+        for (auto& stack : stacks) {
+            allocator.deallocate(stack);
+        }
+    }
+};
+
+free_stacks& thread_stacks() {
+    thread_local free_stacks s_stacks;
+    return s_stacks;
+}
+
+} // namespace
+
+boost::context::stack_context pooled_stack::allocate() {
+    auto& free = thread_stacks();
+    if (free.stacks.empty()) {
+        return free.allocator.allocate();
+    }
+    auto const stack = free.stacks.back();
+    free.stacks.pop_back();
+    return stack;
+}
+
+void pooled_stack::deallocate(boost::context::stack_context& stack) noexcept {
+    auto& free = thread_stacks();
+    if (free.stacks.size() < kept_stacks_per_thread) {
+        free.stacks.push_back(stack);
+        return;
+    }
+    free.allocator.deallocate(stack);
+}
+
+} // namespace pomelospread
--- /dev/null
+++ b/Libraries/Transport/transport/pooled_stack.hpp
@@ -0,0 +1,22 @@
+// Fiber stacks with a guard page, reused by the thread that freed them.
+#pragma once
+
+#include <boost/context/protected_fixedsize_stack.hpp>
+#include <boost/context/stack_context.hpp>
+
+#include <cstddef>
+
+namespace pomelospread {
+
+/// A stack allocator for Boost.Fiber: guarded stacks, kept in a free list per thread up to a limit.
+/// A stack is virtual memory; only the pages that a fiber touched are resident.
+class pooled_stack {
+public:
+    static constexpr std::size_t stack_bytes = std::size_t{256} * 1024;
+    static constexpr std::size_t kept_stacks_per_thread = 512;
+
+    boost::context::stack_context allocate();
+    void deallocate(boost::context::stack_context& stack) noexcept;
+};
+
+} // namespace pomelospread
--- /dev/null
+++ b/Programs/pomelospread/main.cpp
@@ -0,0 +1,66 @@
+// The entry instance of the pomelospread load balancer.
+#include "base/flags.hpp"
+#include "base/log.hpp"
+#include "entry/instance.hpp"
+#include "entry/settings.hpp"
+
+#include <csignal>
+#include <iostream>
+#include <span>
+
+namespace {
+
+using namespace pomelospread;
+
+constexpr char const* usage =
+    "pomelospread: an entry instance of the pomelospread load balancer\n\n"
+    "usage: pomelospread [--SETTING=VALUE ...]\n"
+    "       pomelospread --check_settings [--SETTING=VALUE ...]\n\n"
+    "Each setting is also read from the environment; flags win.\n"
+    "Stops in order on SIGTERM and SIGINT.\n\n"
+    "exit codes: 0 stopped in order, 1 could not run, 64 bad settings\n\nsettings:\n";
+
+int run(std::span<char* const> arguments, bool check_only) {
+    auto const line = read_command_line(arguments, settings_file);
+    if (line.help) {
+        std::cout << usage << describe_settings();
+        return static_cast<int>(exit_code::success);
+    }
+    if (line.version) {
+        std::cout << "pomelospread " POMELOSPREAD_VERSION "\n";
+        return static_cast<int>(exit_code::success);
+    }
+    if (!line.positional.empty()) {
+        throw invalid_input(
+            {{.field = line.positional.front(), .problem = "is not a setting", .allowed = "--NAME=VALUE"}});
+    }
+    auto settings = read_settings();
+    if (check_only) {
+        std::cout << "the settings are valid\n";
+        return static_cast<int>(exit_code::success);
+    }
+    log_writer::start(settings.level, settings.format);
+    instance(std::move(settings)).run();
+    log_writer::stop();
+    return static_cast<int>(exit_code::success);
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    std::signal(SIGPIPE, SIG_IGN);
+    std::vector<char*> arguments(argv + 1, argv + argc);
+    bool const check_only = std::erase_if(arguments, [](char const* argument) {
+                                return std::string_view(argument) == "--check_settings";
+                            }) > 0;
+    try {
+        return run(arguments, check_only);
+    } catch (invalid_input const& failure) {
+        std::cerr << "pomelospread: " << failure.what() << "\n";
+        return static_cast<int>(exit_code::usage);
+    } catch (std::exception const& failure) {
+        log_writer::stop();
+        std::cerr << "pomelospread: " << failure.what() << "\n";
+        return static_cast<int>(exit_code::failure);
+    }
+}
--- /dev/null
+++ b/StandIns/caller/main.cpp
@@ -0,0 +1,265 @@
+// Stands in for callers: asks for addresses, keeps the answer as long as allowed, sends requests at a rate,
+// and checks that each answer is whole and its own. Prints a JSON summary as its last line.
+#include "base/endpoint.hpp"
+#include "base/random.hpp"
+#include "protocol/http_connection.hpp"
+#include "protocol/platform_client.hpp"
+#include "stand_in_main.hpp"
+
+#include <boost/beast/http/verb.hpp>
+#include <boost/fiber/operations.hpp>
+#include <gflags/gflags.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <fstream>
+#include <map>
+#include <vector>
+
+DEFINE_string(ask, "127.0.0.1:8080", "Instances to ask for addresses, separated by commas.");
+DEFINE_string(direct, "", "Send to this address without asking, to measure the target alone.");
+DEFINE_string(method, "GET", "HTTP method.");
+DEFINE_string(path, "/badges/7", "Path.");
+DEFINE_string(zone, "", "Availability zone of the caller.");
+DEFINE_string(customer, "caller", "Customer's name.");
+DEFINE_int64(count, 1, "Requests to send.");
+DEFINE_int64(seconds, 60, "Stop sending after this long.");
+DEFINE_int64(concurrency, 1, "Requests in progress at most.");
+DEFINE_double(rate, 0, "Requests started per second; 0 sends as fast as answers come.");
+DEFINE_int64(tries, 4, "Tries of one request at most.");
+DEFINE_int64(timeout_ms, 3000, "Time for one try.");
+DEFINE_int64(warm_up, 0, "Requests that are left out of the latencies.");
+DEFINE_string(outcomes, "",
+              "File for one JSON line per key of a non-idempotent request: what the caller was told.");
+DEFINE_bool(show, false, "Print each answer.");
+
+namespace pomelospread {
+namespace {
+
+using std::chrono::steady_clock;
+
+struct placement {
+    std::vector<endpoint> addresses;
+    std::string key_prefix;
+    bool idempotent = true;
+    steady_clock::time_point valid_until;
+};
+
+struct summary {
+    std::map<std::string, std::uint64_t> outcomes;
+    std::uint64_t failed = 0;  ///< Requests that ended without an answer from a target.
+    std::uint64_t foreign = 0; ///< Answers that belong to another request or are not whole.
+    std::uint64_t extra_tries = 0;
+    std::vector<double> latencies_ms;
+};
+
+class caller {
+public:
+    explicit caller(io_thread& thread)
+        : m_thread(thread), m_connections(thread.io(), 64, std::chrono::seconds(5)) {
+        std::string list = FLAGS_ask;
+        while (!list.empty()) {
+            auto const comma = list.find(',');
+            m_ask.push_back(parse_endpoint(list.substr(0, comma), "--ask"));
+            list = comma == std::string::npos ? "" : list.substr(comma + 1);
+        }
+        if (!FLAGS_outcomes.empty()) {
+            m_outcome_file.open(FLAGS_outcomes);
+        }
+    }
+
+    /// One sender; several run at once.
+    void send_all() {
+        while (m_started < FLAGS_count &&
+               steady_clock::now() < m_begin + std::chrono::seconds(FLAGS_seconds)) {
+            auto const number = m_started++;
+            auto due = steady_clock::now();
+            if (FLAGS_rate > 0) {
+                due = m_begin + std::chrono::microseconds(static_cast<std::int64_t>(
+                                    static_cast<double>(number) / FLAGS_rate * 1e6));
+                boost::this_fiber::sleep_until(due);
+            }
+            send_one(number, due);
+        }
+    }
+
+    [[nodiscard]] summary& result() { return m_summary; }
+
+private:
+    placement const& current_placement() {
+        if (!FLAGS_direct.empty()) {
+            m_placement.addresses = {parse_endpoint(FLAGS_direct, "--direct")};
+            return m_placement;
+        }
+        if (steady_clock::now() < m_placement.valid_until) {
+            return m_placement;
+        }
+        // Any instance answers, the known ones first.
+        auto candidates = m_placement.addresses;
+        candidates.insert(candidates.end(), m_ask.begin(), m_ask.end());
+        for (auto const& address : candidates) {
+            if (ask(address)) {
+                break;
+            }
+        }
+        return m_placement;
+    }
+
+    bool ask(endpoint const& address) {
+        auto const target = "/.pomelospread/addresses?path=" + encode_query(FLAGS_path) +
+                            "&method=" + FLAGS_method + "&zone=" + FLAGS_zone;
+        try {
+            auto const response = exchange(address, http_request(boost::beast::http::verb::get, target, 11));
+            auto const document = nlohmann::json::parse(response.body());
+            placement fresh;
+            for (auto const& entry : document.at("addresses")) {
+                fresh.addresses.push_back(parse_endpoint(entry.at("address").get<std::string>(), "address"));
+            }
+            fresh.key_prefix = document.at("key_prefix");
+            fresh.idempotent = document.at("idempotent");
+            fresh.valid_until =
+                steady_clock::now() + std::chrono::milliseconds(document.at("keep_ms").get<std::int64_t>());
+            m_placement = std::move(fresh);
+            return true;
+        } catch (std::exception const&) {
+            return false;
+        }
+    }
+
+    http_response exchange(endpoint const& address, http_request const& request) {
+        auto const deadline = steady_clock::now() + std::chrono::milliseconds(FLAGS_timeout_ms);
+        auto connection = m_connections.take_idle(address);
+        if (connection == nullptr) {
+            connection = m_connections.open(address, deadline);
+        }
+        auto response = connection->exchange(request, std::size_t{1024} * 1024, deadline);
+        m_connections.give_back(address, std::move(connection));
+        return response;
+    }
+
+    void send_one(std::int64_t number, steady_clock::time_point due) {
+        std::string outcome = "no-answer";
+        std::string key;
+        for (std::int64_t attempt = 0; attempt < FLAGS_tries; ++attempt) {
+            auto const place = current_placement();
+            if (place.addresses.empty()) {
+                boost::this_fiber::sleep_for(std::chrono::milliseconds(20));
+                continue;
+            }
+            if (attempt > 0) {
+                ++m_summary.extra_tries;
+            }
+            // A key whose outcome is not known is tried again elsewhere; a key that did not run is spent.
+            if (!place.idempotent && (key.empty() || outcome == "not-run")) {
+                key =
+                    place.key_prefix + "-" + std::to_string(number) + "-" + std::to_string(thread_random()());
+            }
+            auto const& address = place.addresses[static_cast<std::size_t>(attempt) % place.addresses.size()];
+            outcome = try_once(address, key, number);
+            note_outcome(key, outcome);
+            if (outcome == "ran") {
+                break;
+            }
+            m_placement.valid_until = {};
+        }
+        ++m_summary.outcomes[outcome];
+        if (outcome != "ran") {
+            ++m_summary.failed;
+        }
+        if (number >= FLAGS_warm_up) {
+            m_summary.latencies_ms.push_back(
+                std::chrono::duration<double, std::milli>(steady_clock::now() - due).count());
+        }
+    }
+
+    std::string try_once(endpoint const& address, std::string const& key, std::int64_t number) {
+        http_request request;
+        request.method_string(boost::beast::string_view(FLAGS_method));
+        request.target(FLAGS_path);
+        request.version(11);
+        set_field(request, "Host", to_string(address));
+        set_field(request, header::customer, FLAGS_customer);
+        auto const token = FLAGS_customer + "-" + std::to_string(number);
+        set_field(request, "Caller-Token", token);
+        if (!key.empty()) {
+            set_field(request, header::idempotency_key, key);
+            request.body() = R"({"amount":1})";
+        }
+        request.prepare_payload();
+        try {
+            auto const response = exchange(address, request);
+            auto outcome = std::string(field_of(response, header::outcome));
+            if (!FLAGS_direct.empty()) {
+                outcome = "ran";
+            }
+            if (outcome == "ran" &&
+                response.body().find("\"caller_token\":\"" + token + "\"") == std::string::npos) {
+                ++m_summary.foreign;
+            }
+            if (FLAGS_show) {
+                std::cout << FLAGS_method << " " << FLAGS_path << " at " << to_string(address) << ": "
+                          << response.result_int() << " " << outcome << " " << response.body();
+            }
+            return outcome;
+        } catch (error const&) {
+            return "no-answer";
+        }
+    }
+
+    void note_outcome(std::string const& key, std::string const& outcome) {
+        if (m_outcome_file.is_open() && !key.empty()) {
+            m_outcome_file << nlohmann::json{{"key", key}, {"outcome", outcome}}.dump() << "\n";
+        }
+    }
+
+    io_thread& m_thread;
+    connection_cache m_connections;
+    std::vector<endpoint> m_ask;
+    placement m_placement;
+    summary m_summary;
+    std::int64_t m_started = 0;
+    steady_clock::time_point m_begin = steady_clock::now();
+    std::ofstream m_outcome_file;
+};
+
+double quantile(std::vector<double> const& sorted, double share) {
+    if (sorted.empty()) {
+        return 0.0;
+    }
+    auto const index = static_cast<std::size_t>(share * static_cast<double>(sorted.size() - 1));
+    return sorted[index];
+}
+
+int run() {
+    io_thread thread("caller");
+    auto const sender = std::make_unique<caller>(thread);
+    std::vector<std::promise<void>> ends(static_cast<std::size_t>(FLAGS_concurrency));
+    auto const begin = steady_clock::now();
+    for (auto& end : ends) {
+        thread.spawn([&] {
+            sender->send_all();
+            end.set_value();
+        });
+    }
+    for (auto& end : ends) {
+        end.get_future().wait();
+    }
+    auto const seconds = std::chrono::duration<double>(steady_clock::now() - begin).count();
+    auto& result = sender->result();
+    std::ranges::sort(result.latencies_ms);
+    auto const& sorted = result.latencies_ms;
+    nlohmann::json const line{{"requests", sorted.size()},         {"seconds", seconds},
+                              {"outcomes", result.outcomes},       {"failed", result.failed},
+                              {"foreign", result.foreign},         {"extra_tries", result.extra_tries},
+                              {"p50_ms", quantile(sorted, 0.5)},   {"p99_ms", quantile(sorted, 0.99)},
+                              {"p999_ms", quantile(sorted, 0.999)}};
+    std::cout << line.dump() << std::endl;
+    return result.failed == 0 && result.foreign == 0 ? 0 : 1;
+}
+
+} // namespace
+} // namespace pomelospread
+
+int main(int argc, char** argv) {
+    return pomelospread::stand_in_main(argc, argv, "caller/main.cpp", pomelospread::run);
+}
--- /dev/null
+++ b/Tests/Base/test_base.cpp
@@ -0,0 +1,67 @@
+#include "base/endpoint.hpp"
+#include "base/flags.hpp"
+#include "base/metrics.hpp"
+#include "check_throws.hpp"
+
+#include <gflags/gflags.h>
+
+#include <array>
+
+DEFINE_int64(test_number, 1, "A number.");
+DEFINE_bool(test_switch, false, "A switch.");
+
+using namespace pomelospread;
+
+TEST_GROUP(endpoints){};
+
+TEST(endpoints, reads_what_it_writes) {
+    for (auto const* text : {"127.0.0.1:0", "10.1.2.3:65535", "[::1]:8080"}) {
+        STRCMP_EQUAL(text, to_string(parse_endpoint(text, "field")).c_str());
+    }
+}
+
+TEST(endpoints, rejects_everything_else_by_field) {
+    for (auto const* text :
+         {"", "127.0.0.1", "localhost:80", "127.0.0.1:65536", "127.0.0.1:-1", "127.0.0.1:80x", ":80"}) {
+        expect_invalid([&] { static_cast<void>(parse_endpoint(text, "--listen")); }, "--listen");
+    }
+}
+
+TEST_GROUP(flags){};
+
+static parsed_command_line read_line(std::vector<std::string> words) {
+    std::vector<char*> arguments;
+    for (auto& word : words) {
+        arguments.push_back(word.data());
+    }
+    return read_command_line(arguments, "test_base.cpp");
+}
+
+TEST(flags, reads_every_form) {
+    auto const line = read_line({"--test_number=7", "word", "--test_switch"});
+    LONGS_EQUAL(7, FLAGS_test_number);
+    CHECK(FLAGS_test_switch);
+    LONGS_EQUAL(1, line.positional.size());
+    read_line({"--test_number", "8", "--notest_switch"});
+    LONGS_EQUAL(8, FLAGS_test_number);
+    CHECK_FALSE(FLAGS_test_switch);
+}
+
+TEST(flags, reports_every_problem_at_once) {
+    auto const read = [] { read_line({"--test_number=seven", "--no_such=1"}); };
+    expect_invalid(read, "--test_number");
+    expect_invalid(read, "--no_such");
+}
+
+TEST_GROUP(metrics){};
+
+TEST(metrics, renders_counters_and_cumulative_buckets) {
+    metrics values;
+    values.add(counter::hedges, 3);
+    values.request_latency.observe(std::chrono::milliseconds(2));
+    values.request_latency.observe(std::chrono::hours(1));
+    auto const text = values.render();
+    CHECK(text.find("pomelospread_hedges_total 3\n") != std::string::npos);
+    CHECK(text.find("pomelospread_request_seconds_bucket{le=\"+Inf\"} 2\n") != std::string::npos);
+    CHECK(text.find("pomelospread_request_seconds_count 2\n") != std::string::npos);
+}
--- /dev/null
+++ b/Tests/Programs/test_account_export.cpp
@@ -0,0 +1,79 @@
+#include "account_export.hpp"
+#include "coordination/memory_platform.hpp"
+#include "state/account_journal.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <sstream>
+
+using namespace pomelospread;
+
+namespace {
+
+account_record record_of(std::string id, std::string outcome, std::string customer = "c") {
+    return {.id = std::move(id),
+            .customer = std::move(customer),
+            .unix_ms = 5,
+            .path = "/a,\"b",
+            .outcome = std::move(outcome)};
+}
+
+void put(object_store& store, account_segment const& segment) {
+    store.put(segment_name(segment), encode_segment(segment));
+}
+
+account_result run_export(object_store& store, std::vector<instance_id> const& live) {
+    return export_account(store, {.customer = "c", .from_unix_ms = 0, .to_unix_ms = 9}, live,
+                          [](auto, auto) {});
+}
+
+} // namespace
+
+TEST_GROUP(account_export){};
+
+TEST(account_export, merges_copies_and_prefers_the_one_with_an_outcome) {
+    memory_platform platform;
+    auto& store = platform.objects();
+    put(store, {.owner = 7,
+                .first_sequence = 1,
+                .last_sequence = 2,
+                .records = {record_of("a", ""), record_of("x", "ran", "other")}});
+    put(store, {.owner = 7,
+                .first_sequence = 3,
+                .last_sequence = 3,
+                .final = true,
+                .records = {record_of("a", "ran")}});
+    put(store, {.owner = 7,
+                .first_sequence = 1,
+                .last_sequence = 1,
+                .recovered = true,
+                .records = {record_of("a", "")}});
+    auto const result = run_export(store, {});
+    LONGS_EQUAL(1, result.records.size());
+    STRCMP_EQUAL("ran", result.records.front().outcome.c_str());
+    CHECK(result.unvouched.empty());
+}
+
+TEST(account_export, names_what_it_cannot_vouch_for) {
+    memory_platform platform;
+    auto& store = platform.objects();
+    put(store, {.owner = 1, .first_sequence = 1, .last_sequence = 1, .records = {record_of("a", "ran")}});
+    put(store, {.owner = 1,
+                .first_sequence = 4,
+                .last_sequence = 4,
+                .final = true,
+                .records = {record_of("b", "ran")}});
+    put(store, {.owner = 2, .first_sequence = 1, .last_sequence = 1, .records = {record_of("d", "ran")}});
+    put(store, {.owner = 3, .first_sequence = 1, .last_sequence = 1, .records = {record_of("e", "ran")}});
+    auto const result = run_export(store, {3});
+    LONGS_EQUAL(3, result.unvouched.size());
+    STRCMP_EQUAL("records 2-3 are missing", result.unvouched[0].reason.c_str());
+    STRCMP_EQUAL("it ended without its last records being recovered", result.unvouched[1].reason.c_str());
+    LONGS_EQUAL(3, result.unvouched[2].owner);
+}
+
+TEST(account_export, quotes_csv_fields) {
+    std::ostringstream out;
+    write_account(out, {.records = {record_of("a", "ran")}, .unvouched = {}}, account_format::csv);
+    CHECK(out.str().find("\"/a,\"\"b\"") != std::string::npos);
+}
--- /dev/null
+++ b/Tests/Protocol/test_peer_messages.cpp
@@ -0,0 +1,60 @@
+#include "base/errors.hpp"
+#include "protocol/peer_messages.hpp"
+#include "protocol/platform_client.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace pomelospread;
+
+namespace {
+
+peer_batch sample_batch() {
+    peer_batch batch;
+    batch.claims.push_back(
+        {.sequence = 1, .key = "k", .epoch = 3, .record_sequence = 4, .record = {.id = "r"}});
+    batch.outcomes.push_back(
+        {.key = "k", .epoch = 3, .outcome = {.kind = outcome_kind::ran, .status = 200, .body = "b"}});
+    batch.loads.push_back({.pool = "p", .tables_version = 2, .in_flight = {1, 0, 7}});
+    batch.stored_through = 9;
+    return batch;
+}
+
+} // namespace
+
+TEST_GROUP(peer_messages){};
+
+TEST(peer_messages, decode_what_was_encoded) {
+    auto const read = decode<peer_batch>(encode(sample_batch()));
+    STRCMP_EQUAL("r", read.claims.front().record.id.c_str());
+    CHECK(read.outcomes.front().outcome.kind == outcome_kind::ran);
+    LONGS_EQUAL(7, read.loads.front().in_flight.back());
+    LONGS_EQUAL(9, read.stored_through);
+}
+
+TEST(peer_messages, every_truncation_and_extension_is_rejected) {
+    auto const whole = encode(sample_batch());
+    for (std::size_t size = 0; size < whole.size(); ++size) {
+        CHECK_THROWS(malformed_message, decode<peer_batch>(std::string_view(whole).substr(0, size)));
+    }
+    CHECK_THROWS(malformed_message, decode<peer_batch>(whole + "x"));
+}
+
+TEST(peer_messages, a_full_heartbeat_fits_a_datagram) {
+    gossip_message message{.sender = {.id = ~0ULL,
+                                      .zone = std::string(64, 'z'),
+                                      .caller_address = {"255.255.255.255", 65535},
+                                      .peer_address = {"255.255.255.255", 65535},
+                                      .admin_address = {"255.255.255.255", 65535}}};
+    message.digests.resize(membership_limits{}.digests_per_message + 1);
+    CHECK(encode(message).size() <= max_datagram_bytes);
+}
+
+TEST_GROUP(queries){};
+
+TEST(queries, values_survive_encoding) {
+    auto const value = std::string("a b&c=%/\xC3\xBC");
+    STRCMP_EQUAL(value.c_str(), query_value("/x?other=1&path=" + encode_query(value), "path").c_str());
+    STRCMP_EQUAL("", query_value("/x?other=1", "path").c_str());
+    STRCMP_EQUAL("%", query_value("/x?path=%", "path").c_str());
+    STRCMP_EQUAL("%4", query_value("/x?path=%4", "path").c_str());
+}
--- /dev/null
+++ b/Tests/Transport/test_fibers.cpp
@@ -0,0 +1,109 @@
+#include "transport/io_thread.hpp"
+#include "transport/use_fiber.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/mutex.hpp>
+#include <boost/fiber/operations.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <ctime>
+#include <future>
+#include <mutex>
+
+using namespace pomelospread;
+using namespace std::chrono_literals;
+
+namespace {
+
+double process_cpu_seconds() {
+    std::timespec now{};
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &now);
+    return static_cast<double>(now.tv_sec) + static_cast<double>(now.tv_nsec) / 1e9;
+}
+
+} // namespace
+
+TEST_GROUP(fibers){};
+
+TEST(fibers, an_idle_thread_with_a_thousand_sleepers_uses_next_to_no_processor) {
+    io_thread thread("test");
+    std::atomic<int> awake{0};
+    std::atomic<bool> end{false};
+    for (int i = 0; i < 1000; ++i) {
+        thread.spawn([&] {
+            ++awake;
+            while (!end) {
+                boost::this_fiber::sleep_for(500ms);
+            }
+        });
+    }
+    while (awake < 1000) {
+        std::this_thread::sleep_for(1ms);
+    }
+    auto const wall_begin = std::chrono::steady_clock::now();
+    auto const cpu_begin = process_cpu_seconds();
+    std::this_thread::sleep_for(400ms);
+    auto const cpu = process_cpu_seconds() - cpu_begin;
+    std::chrono::duration<double> const wall = std::chrono::steady_clock::now() - wall_begin;
+    end = true;
+    CHECK(cpu / wall.count() < 0.05);
+}
+
+TEST(fibers, another_thread_wakes_a_waiting_fiber) {
+    io_thread thread("test");
+    boost::fibers::mutex mutex;
+    boost::fibers::condition_variable changed;
+    bool told = false;
+    std::promise<void> waiting;
+    std::promise<bool> result;
+    thread.spawn([&] {
+        std::unique_lock lock(mutex);
+        waiting.set_value();
+        result.set_value(changed.wait_for(lock, 10s, [&] { return told; }));
+    });
+    waiting.get_future().wait();
+    std::thread other([&] {
+        std::unique_lock lock(mutex);
+        told = true;
+        changed.notify_one();
+    });
+    CHECK(result.get_future().get());
+    other.join();
+}
+
+TEST(fibers, handlers_run_while_fibers_keep_the_thread_busy) {
+    io_thread thread("test");
+    std::promise<bool> result;
+    thread.spawn([&] {
+        bool fired = false;
+        boost::asio::steady_timer timer(thread.io(), 1ms);
+        timer.async_wait([&](auto) { fired = true; });
+        auto const end = std::chrono::steady_clock::now() + 5s;
+        while (!fired && std::chrono::steady_clock::now() < end) {
+            boost::this_fiber::yield();
+        }
+        result.set_value(fired);
+    });
+    CHECK(result.get_future().get());
+}
+
+TEST(fibers, a_deadline_ends_a_connect_and_a_read) {
+    io_thread thread("test");
+    std::promise<bool> result;
+    thread.spawn([&] {
+        boost::asio::ip::tcp::acceptor acceptor(thread.io(), {boost::asio::ip::address_v4::loopback(), 0});
+        boost::beast::tcp_stream stream(thread.io());
+        boost::system::error_code error;
+        stream.async_connect(acceptor.local_endpoint(), use_fiber(error));
+        stream.expires_after(20ms);
+        char byte = 0;
+        stream.async_read_some(boost::asio::buffer(&byte, 1), use_fiber(error));
+        result.set_value(error == boost::beast::error::timeout);
+    });
+    CHECK(result.get_future().get());
+}
