--- a/Libraries/Base/base/easylogging.cpp
+++ b/Libraries/Base/base/easylogging.cpp
@@ -1,2 +1,2 @@
 // The library ships as a source file that each user compiles once.
-#include <easylogging++.cc>
+#include <easylogging++.cc> // NOLINT(bugprone-suspicious-include)
--- a/Libraries/Coordination/coordination/placement.cpp
+++ b/Libraries/Coordination/coordination/placement.cpp
@@ -87,7 +87,8 @@
                                      std::span<member_view const> members) {
     auto order = ranked(pool.name, with_status(members, member_status::alive));
     std::erase_if(order, [&](auto const& entry) { return entry.id == self.id; });
-    std::ranges::stable_partition(order, [&](auto const& entry) { return entry.zone != self.zone; });
+    std::stable_partition(order.begin(), order.end(),
+                          [&](auto const& entry) { return entry.zone != self.zone; });
     return order;
 }
 
@@ -101,10 +102,10 @@
     auto const home_count = std::min(order.size(), static_cast<std::size_t>(pool.homes));
     auto homes = std::vector(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(home_count));
     std::ranges::shuffle(homes, random);
-    auto const in_zone =
-        std::ranges::stable_partition(homes, [&](auto const& entry) { return entry.zone == caller_zone; });
+    auto const elsewhere = std::stable_partition(
+        homes.begin(), homes.end(), [&](auto const& entry) { return entry.zone == caller_zone; });
     address_answer answer;
-    answer.reason = in_zone.begin() != homes.begin() ? "home_in_caller_zone" : "home_in_other_zone";
+    answer.reason = elsewhere != homes.begin() ? "home_in_caller_zone" : "home_in_other_zone";
     answer.prefix = {
         .primary = homes.front().id, .witness = choose_witness(homes.front(), order), .epoch = epoch};
     answer.keep_for = staggered(limits, random);
--- a/Libraries/Entry/entry/request_handler.cpp
+++ b/Libraries/Entry/entry/request_handler.cpp
@@ -231,7 +231,7 @@
 }
 
 std::string request_handler::key_of(request_context const& context, http_request const& request) {
-    auto const given = std::string(field_of(request, header::idempotency_key));
+    auto given = std::string(field_of(request, header::idempotency_key));
     if (given.empty()) {
         return m_claims.mint(context);
     }
--- a/Libraries/State/state/tables_merge.cpp
+++ b/Libraries/State/state/tables_merge.cpp
@@ -41,6 +41,14 @@
     return names;
 }
 
+std::string row_title(std::string const& kind, std::string const& name) {
+    std::string title = kind;
+    title += " \"";
+    title += name;
+    title += '"';
+    return title;
+}
+
 template<class Row>
 void append_difference(std::vector<Row> const& from, std::vector<Row> const& to, std::string const& kind,
                        std::vector<table_difference>& into) {
@@ -53,7 +61,7 @@
             continue;
         }
         auto const change = !before ? row_change::added : !after ? row_change::removed : row_change::changed;
-        into.push_back({.row = kind + " \"" + name + "\"", .change = change});
+        into.push_back({.row = row_title(kind, name), .change = change});
     }
 }
 
@@ -71,7 +79,7 @@
         auto const their_row = lookup(their_rows, name);
         bool const changed_by_both = my_row != before && their_row != before && my_row != their_row;
         if (changed_by_both) {
-            conflicts.push_back(kind + " \"" + name + "\"");
+            conflicts.push_back(row_title(kind, name));
             continue;
         }
         auto const& taken = my_row != before ? my_row : their_row;
