--- /dev/null
+++ b/Benches/policy/strategies.cpp
@@ -0,0 +1,506 @@
+#include "strategies.hpp"
+
+#include "coordination/peer_loads.hpp"
+#include "coordination/waiting_queue.hpp"
+
+#include <algorithm>
+#include <array>
+#include <map>
+
+using namespace pomelospread;
+
+namespace {
+
+nanoseconds to_nanoseconds(virtual_time seconds) {
+    return nanoseconds(static_cast<std::int64_t>(seconds * 1e9) + 1);
+}
+
+/// A baseline sends each request on at once; it differs in `choose` alone.
+class sending_strategy : public strategy {
+public:
+    explicit sending_strategy(simulation const& world)
+        : m_present(world.target_count(), true),
+          m_own(fleet_shape::instances, std::vector<std::uint32_t>(world.target_count())),
+          m_reported(fleet_shape::instances, std::vector<std::uint32_t>(world.target_count())) {}
+
+    void arrived(simulation& world, std::uint32_t request) override {
+        auto const instance = world.instance_of(request);
+        auto const target = choose(world, instance);
+        ++m_own[instance][target];
+        world.send(request, target);
+    }
+
+    void answered(simulation& world, copy_handle const& copy, bool failed) override {
+        auto const instance = world.instance_of(copy->request);
+        --m_own[instance][copy->target];
+        // The report left the target with the answer, so it is one network latency old.
+        m_reported[instance][copy->target] = world.in_target(copy->target);
+        world.complete(copy->request, failed);
+    }
+
+    void set_present(simulation&, std::uint32_t target, bool present) override {
+        m_present[target] = present;
+    }
+
+protected:
+    virtual std::uint32_t choose(simulation& world, std::uint32_t instance) = 0;
+
+    std::uint32_t any_present(simulation& world) {
+        for (;;) {
+            auto const target = static_cast<std::uint32_t>(world.random()() % world.target_count());
+            if (m_present[target]) {
+                return target;
+            }
+        }
+    }
+
+    std::vector<bool> m_present;
+    std::vector<std::vector<std::uint32_t>> m_own;
+    std::vector<std::vector<std::uint32_t>> m_reported;
+};
+
+class random_strategy final : public sending_strategy {
+public:
+    using sending_strategy::sending_strategy;
+
+private:
+    std::uint32_t choose(simulation& world, std::uint32_t) override { return any_present(world); }
+};
+
+class round_robin_strategy final : public sending_strategy {
+public:
+    using sending_strategy::sending_strategy;
+
+private:
+    std::uint32_t choose(simulation& world, std::uint32_t instance) override {
+        auto& next = m_next.try_emplace(instance, instance).first->second;
+        do {
+            next = (next + 1) % static_cast<std::uint32_t>(world.target_count());
+        } while (!m_present[next]);
+        return next;
+    }
+
+    std::map<std::uint32_t, std::uint32_t> m_next;
+};
+
+class least_own_strategy final : public sending_strategy {
+public:
+    using sending_strategy::sending_strategy;
+
+private:
+    std::uint32_t choose(simulation& world, std::uint32_t instance) override {
+        std::uint32_t best = any_present(world);
+        for (std::uint32_t target = 0; target < world.target_count(); ++target) {
+            if (m_present[target] && m_own[instance][target] < m_own[instance][best]) {
+                best = target;
+            }
+        }
+        return best;
+    }
+};
+
+/// The power of two choices (Mitzenmacher, 2001) on the loads that answers reported.
+class two_choices_strategy final : public sending_strategy {
+public:
+    using sending_strategy::sending_strategy;
+
+private:
+    std::uint32_t choose(simulation& world, std::uint32_t instance) override {
+        auto const first = any_present(world);
+        auto const second = any_present(world);
+        return m_reported[instance][first] <= m_reported[instance][second] ? first : second;
+    }
+};
+
+/// One queue that sees every slot at once: a limit, since no instance can know this much.
+class omniscient_strategy final : public strategy {
+public:
+    explicit omniscient_strategy(simulation const& world) : m_present(world.target_count(), true) {}
+
+    void arrived(simulation& world, std::uint32_t request) override {
+        // The network's latency is lived through before the queue, so that no slot waits for it.
+        world.at(world.now() + fleet_shape::one_way, [this, &world, request] {
+            m_waiting.push_back(request);
+            send_waiting(world);
+        });
+    }
+
+    void answered(simulation& world, copy_handle const& copy, bool failed) override {
+        world.complete(copy->request, failed);
+    }
+
+    void slot_freed(simulation& world) override { send_waiting(world); }
+
+    void set_present(simulation& world, std::uint32_t target, bool present) override {
+        m_present[target] = present;
+        send_waiting(world);
+    }
+
+private:
+    void send_waiting(simulation& world) {
+        while (!m_waiting.empty()) {
+            auto const target = freest(world);
+            if (!target) {
+                return;
+            }
+            auto const request = m_waiting.front();
+            m_waiting.pop_front();
+            world.send_at_once(request, *target);
+        }
+    }
+
+    std::optional<std::uint32_t> freest(simulation& world) const {
+        std::optional<std::uint32_t> best;
+        std::uint32_t least = world.slots();
+        for (std::uint32_t target = 0; target < world.target_count(); ++target) {
+            if (m_present[target] && world.in_target(target) < least) {
+                least = world.in_target(target);
+                best = target;
+            }
+        }
+        return best;
+    }
+
+    std::vector<bool> m_present;
+    std::deque<std::uint32_t> m_waiting;
+};
+
+struct system_options {
+    target_policy policy;
+    bool hedges = true;
+    bool homes = true;
+    bool shares_loads = true;
+    bool relays = true; ///< An instance that is no home passes lookups on to one.
+    std::uint32_t home_count = fleet_shape::homes;
+};
+
+/// The entry instance's decision code: target_pool, waiting_queue and peer_loads, one set an instance.
+class system_strategy final : public strategy {
+public:
+    system_strategy(simulation const& world, std::uint64_t seed, system_options options)
+        : m_options(options), m_random(seed), m_requests() {
+        m_row.name = "pool";
+        m_row.slots_per_target = world.slots();
+        for (std::uint32_t i = 0; i < world.target_count(); ++i) {
+            m_row.targets.push_back(
+                {.address = {"127.0.0.1", static_cast<std::uint16_t>(i + 1)}, .zone = "z"});
+        }
+        for (std::uint32_t i = 0; i < fleet_shape::instances; ++i) {
+            m_instances.push_back(std::make_unique<instance_state>(m_row, m_options.policy));
+        }
+        rank_homes(0);
+    }
+
+    [[nodiscard]] std::uint32_t homes() const override { return m_options.homes ? m_options.home_count : 0; }
+
+    void arrived(simulation& world, std::uint32_t request) override {
+        m_requests.resize(request + 1);
+        auto const here = world.instance_of(request);
+        bool const at_home = std::ranges::find(m_homes, here) != m_homes.end();
+        if (!m_options.relays || !m_options.homes || at_home) {
+            serve(world, request);
+            return;
+        }
+        auto const home = m_homes[m_random() % m_homes.size()];
+        world.move(request, home, fleet_shape::between_homes);
+        world.at(world.now() + fleet_shape::between_homes,
+                 [this, &world, request] { serve(world, request); });
+    }
+
+    void serve(simulation& world, std::uint32_t request) {
+        auto& instance = instance_of(world, request);
+        instance.targets->retry_budget().earn();
+        instance.targets->hedge_budget().earn();
+        if (instance.waiting.size() > 0 || !try_send(world, request, std::nullopt, false)) {
+            static_cast<void>(instance.waiting.push("caller", to_nanoseconds(world.now()), request));
+        }
+    }
+
+    void answered(simulation& world, copy_handle const& copy, bool failed) override {
+        auto& instance = instance_of(world, copy->request);
+        auto const late = world.is_done(copy->request);
+        if (!copy->cancelled) {
+            give_back(world, copy, failed ? exchange_result::failed : exchange_result::answered);
+        }
+        if (!late && failed && instance.targets->retry_budget().try_spend() &&
+            try_send(world, copy->request, copy->target, false)) {
+            ++world.result().retries;
+        } else if (!late && (!failed || !has_other_try(copy))) {
+            accept(world, copy, failed);
+        }
+        serve_waiting(world, instance);
+    }
+
+    void set_present(simulation& world, std::uint32_t target, bool present) override {
+        // A table change: the row is replaced and the pools are rebuilt from their predecessors.
+        auto const address = endpoint{"127.0.0.1", static_cast<std::uint16_t>(target + 1)};
+        for (auto& row_target : m_row.targets) {
+            if (row_target.address == address) {
+                row_target.leaving = !present;
+            }
+        }
+        for (auto& instance : m_instances) {
+            if (present) {
+                // A target that was not in the table before is new to the instances.
+                auto without = m_row;
+                std::erase_if(without.targets, [&](auto const& one) { return one.address == address; });
+                target_pool const previous(without, "z", m_options.policy, to_nanoseconds(world.now()),
+                                           instance->targets.get());
+                instance->targets = std::make_unique<target_pool>(m_row, "z", m_options.policy,
+                                                                  to_nanoseconds(world.now()), &previous);
+            } else {
+                instance->targets->set_leaving(target, nanoseconds::max());
+            }
+        }
+    }
+
+    void instance_died(simulation&, std::uint32_t instance) override {
+        m_dead[instance] = true;
+        rank_homes(m_options.home_count);
+    }
+
+private:
+    struct instance_state {
+        instance_state(pool_row const& row, target_policy const& policy)
+            : targets(std::make_unique<target_pool>(row, "z", policy, nanoseconds::zero())),
+              waiting(1'000'000), peers(row.targets.size()) {}
+        std::unique_ptr<target_pool> targets;
+        waiting_queue<std::uint32_t> waiting;
+        peer_loads peers;
+        bool telling = false;
+        virtual_time told = -1;
+    };
+
+    struct request_tries {
+        std::array<copy_handle, 2> copies;
+    };
+
+    void rank_homes(std::uint32_t first) {
+        m_homes.clear();
+        m_homes.push_back(first);
+        for (std::uint32_t i = 1; i < m_options.home_count; ++i) {
+            m_homes.push_back(i);
+        }
+        for (std::uint32_t i = 0; i < m_homes.size() && m_options.homes; ++i) {
+            m_instances[m_homes[i]]->targets->set_home_rank({.rank = i, .homes = m_options.home_count});
+        }
+    }
+
+    instance_state& instance_of(simulation& world, std::uint32_t request) {
+        return *m_instances[world.instance_of(request)];
+    }
+
+    bool try_send(simulation& world, std::uint32_t request, std::optional<std::uint32_t> excluded,
+                  bool hedge) {
+        auto& instance = instance_of(world, request);
+        auto const ticket = instance.targets->try_start(to_nanoseconds(world.now()), m_random, excluded);
+        if (!ticket) {
+            return false;
+        }
+        auto copy = world.send(request, ticket->target);
+        copy->place = ticket->place;
+        m_requests[request].copies[hedge ? 1 : 0] = copy;
+        if (!hedge && !excluded) {
+            plan_hedge(world, request, ticket->target);
+        }
+        tell_loads(world, world.instance_of(request));
+        return true;
+    }
+
+    void plan_hedge(simulation& world, std::uint32_t request, std::uint32_t first) {
+        auto& instance = instance_of(world, request);
+        auto const delay = instance.targets->hedge_delay();
+        if (!m_options.hedges || delay == nanoseconds::zero()) {
+            return;
+        }
+        world.at(world.now() + static_cast<double>(delay.count()) / 1e9, [this, &world, request, first] {
+            auto& at_instance = instance_of(world, request);
+            if (world.is_done(request) || m_requests[request].copies[1] != nullptr ||
+                at_instance.waiting.size() > 0 || !at_instance.targets->hedge_budget().try_spend()) {
+                return;
+            }
+            if (try_send(world, request, first, true)) {
+                ++world.result().hedges;
+            }
+        });
+    }
+
+    void give_back(simulation& world, copy_handle const& copy, exchange_result result) {
+        auto& instance = instance_of(world, copy->request);
+        instance.targets->finish(
+            {.target = copy->target, .place = copy->place, .started = to_nanoseconds(copy->started)},
+            to_nanoseconds(world.now()), result);
+        tell_loads(world, world.instance_of(copy->request));
+    }
+
+    [[nodiscard]] bool has_other_try(copy_handle const& copy) const {
+        return std::ranges::any_of(m_requests[copy->request].copies, [&](copy_handle const& other) {
+            return other != nullptr && other != copy && !other->finished && !other->cancelled;
+        });
+    }
+
+    void accept(simulation& world, copy_handle const& copy, bool failed) {
+        world.complete(copy->request, failed);
+        for (auto const& other : m_requests[copy->request].copies) {
+            if (other != nullptr && other != copy && !other->cancelled && !other->finished) {
+                world.cancel(other);
+                give_back(world, other, exchange_result::cancelled);
+            }
+        }
+        m_requests[copy->request].copies = {};
+    }
+
+    void serve_waiting(simulation& world, instance_state& instance) {
+        while (auto const request = instance.waiting.pop()) {
+            if (!try_send(world, *request, std::nullopt, false)) {
+                static_cast<void>(instance.waiting.push("caller", nanoseconds::zero(), *request));
+                return;
+            }
+        }
+    }
+
+    /// In-flight counts go to the homes and to whoever told counts itself.
+    void tell_loads(simulation& world, std::uint32_t from) {
+        auto& instance = *m_instances[from];
+        if (!m_options.shares_loads || instance.telling) {
+            return;
+        }
+        instance.telling = true;
+        auto const when = std::max(world.now(), instance.told + fleet_shape::load_interval);
+        world.at(when, [this, &world, from] { send_loads(world, from); });
+    }
+
+    void send_loads(simulation& world, std::uint32_t from) {
+        auto& instance = *m_instances[from];
+        instance.telling = false;
+        instance.told = world.now();
+        std::vector<std::uint16_t> counts;
+        for (std::uint32_t i = 0; i < instance.targets->size(); ++i) {
+            counts.push_back(static_cast<std::uint16_t>(instance.targets->in_flight(i)));
+        }
+        auto receivers = m_homes;
+        for (auto const teller : instance.peers.tellers()) {
+            receivers.push_back(static_cast<std::uint32_t>(teller - 1));
+        }
+        std::ranges::sort(receivers);
+        receivers.erase(std::unique(receivers.begin(), receivers.end()), receivers.end());
+        for (auto const to : receivers) {
+            if (to == from || m_dead[to]) {
+                continue;
+            }
+            world.at(world.now() + fleet_shape::between_homes, [this, &world, from, to, counts] {
+                auto& receiver = *m_instances[to];
+                receiver.peers.receive(from + 1, counts, to_nanoseconds(world.now()));
+                receiver.peers.expire(to_nanoseconds(world.now()));
+                receiver.peers.apply(*receiver.targets);
+                serve_waiting(world, receiver);
+            });
+        }
+    }
+
+    system_options m_options;
+    std::mt19937_64 m_random;
+    pool_row m_row;
+    std::vector<std::unique_ptr<instance_state>> m_instances;
+    std::vector<std::uint32_t> m_homes;
+    std::array<bool, fleet_shape::instances> m_dead{};
+    std::vector<request_tries> m_requests;
+};
+
+template<class Strategy>
+std::unique_ptr<strategy> make(simulation const& world, std::uint64_t) {
+    return std::make_unique<Strategy>(world);
+}
+
+/// `change` takes one part out of the policy.
+template<auto change>
+std::unique_ptr<strategy> make_system(simulation const& world, std::uint64_t seed) {
+    system_options options;
+    change(options);
+    return std::make_unique<system_strategy>(world, seed + 1, options);
+}
+
+constexpr auto unchanged = [](system_options&) {};
+constexpr auto no_hedges = [](system_options& options) { options.hedges = false; };
+constexpr auto no_homes = [](system_options& options) {
+    options.hedges = false;
+    options.homes = false;
+    options.shares_loads = false;
+};
+constexpr auto no_homes_shared = [](system_options& options) {
+    options.hedges = false;
+    options.homes = false;
+};
+constexpr auto no_shared_loads = [](system_options& options) {
+    options.hedges = false;
+    options.shares_loads = false;
+};
+constexpr auto no_straggler = [](system_options& options) {
+    options.hedges = false;
+    options.policy.straggler_avoidance = false;
+};
+constexpr auto no_own_share = [](system_options& options) {
+    options.hedges = false;
+    options.policy.home_share = false;
+};
+constexpr auto no_ejection = [](system_options& options) {
+    options.hedges = false;
+    options.policy.outlier_ejection = false;
+};
+constexpr auto no_slow_start = [](system_options& options) {
+    options.hedges = false;
+    options.policy.slow_start = false;
+};
+constexpr auto full_peer_limit = [](system_options& options) {
+    options.hedges = false;
+    options.policy.peer_limit_share = 1;
+};
+constexpr auto no_relays = [](system_options& options) {
+    options.hedges = false;
+    options.relays = false;
+};
+constexpr auto one_home = [](system_options& options) {
+    options.hedges = false;
+    options.home_count = 1;
+};
+constexpr auto three_homes = [](system_options& options) {
+    options.hedges = false;
+    options.home_count = 3;
+};
+constexpr auto no_queue_place = [](system_options& options) {
+    options.hedges = false;
+    options.policy.queue_places = 0;
+};
+constexpr auto two_queue_places = [](system_options& options) {
+    options.hedges = false;
+    options.policy.queue_places = 2;
+};
+
+constexpr std::array strategies{
+    named_strategy{"random", make<random_strategy>, true},
+    named_strategy{"round-robin", make<round_robin_strategy>, true},
+    named_strategy{"least-own", make<least_own_strategy>, true},
+    named_strategy{"two-choices", make<two_choices_strategy>, true},
+    named_strategy{"omniscient-queue", make<omniscient_strategy>, true},
+    named_strategy{"system", make_system<unchanged>},
+    named_strategy{"system-without-hedges", make_system<no_hedges>},
+    named_strategy{"without-homes", make_system<no_homes>},
+    named_strategy{"without-homes-shared", make_system<no_homes_shared>},
+    named_strategy{"without-peer-counts", make_system<no_shared_loads>},
+    named_strategy{"without-straggler-avoidance", make_system<no_straggler>},
+    named_strategy{"without-own-share", make_system<no_own_share>},
+    named_strategy{"without-ejection", make_system<no_ejection>},
+    named_strategy{"without-slow-start", make_system<no_slow_start>},
+    named_strategy{"full-peer-limit", make_system<full_peer_limit>},
+    named_strategy{"without-relays", make_system<no_relays>},
+    named_strategy{"one-home", make_system<one_home>},
+    named_strategy{"three-homes", make_system<three_homes>},
+    named_strategy{"without-queue-place", make_system<no_queue_place>},
+    named_strategy{"two-queue-places", make_system<two_queue_places>},
+};
+
+} // namespace
+
+std::span<named_strategy const> all_strategies() {
+    return strategies;
+}
--- /dev/null
+++ b/Libraries/Coordination/coordination/peer_loads.cpp
@@ -0,0 +1,49 @@
+#include "coordination/peer_loads.hpp"
+
+#include <algorithm>
+
+namespace pomelospread {
+
+void peer_loads::receive(instance_id teller, std::span<std::uint16_t const> in_flight, nanoseconds now) {
+    auto& counts = m_told[teller];
+    subtract(counts);
+    counts.at = now;
+    counts.in_flight.assign(in_flight.begin(), in_flight.end());
+    counts.in_flight.resize(m_sums.size());
+    for (std::size_t i = 0; i < m_sums.size(); ++i) {
+        m_sums[i] += counts.in_flight[i];
+    }
+}
+
+void peer_loads::expire(nanoseconds now) {
+    std::erase_if(m_told, [&](auto const& entry) {
+        bool const silent = now - entry.second.at > max_age;
+        if (silent) {
+            subtract(entry.second);
+        }
+        return silent;
+    });
+}
+
+std::vector<instance_id> peer_loads::tellers() const {
+    std::vector<instance_id> result;
+    for (auto const& [teller, counts] : m_told) {
+        result.push_back(teller);
+    }
+    return result;
+}
+
+void peer_loads::apply(target_pool& pool) const {
+    auto const count = std::min(m_sums.size(), pool.size());
+    for (std::size_t i = 0; i < count; ++i) {
+        pool.set_peer_in_flight(static_cast<std::uint32_t>(i), m_sums[i]);
+    }
+}
+
+void peer_loads::subtract(told const& counts) {
+    for (std::size_t i = 0; i < counts.in_flight.size(); ++i) {
+        m_sums[i] -= counts.in_flight[i];
+    }
+}
+
+} // namespace pomelospread
--- /dev/null
+++ b/Libraries/Coordination/coordination/peer_loads.hpp
@@ -0,0 +1,48 @@
+// The in-flight counts that other instances told for the targets of one pool.
+#pragma once
+
+#include "coordination/platform.hpp"
+#include "coordination/target_pool.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <span>
+#include <vector>
+
+namespace pomelospread {
+
+/// Sums the newest counts of each other instance. Not thread-safe; time is passed in.
+class peer_loads {
+public:
+    /// A count that was not renewed for this long is dropped with its teller.
+    static constexpr nanoseconds max_age = std::chrono::seconds(1);
+
+    explicit peer_loads(std::size_t targets) : m_sums(targets) {}
+
+    /// Takes an instance's counts, by the target's position in the pool row; missing ones are zero.
+    void receive(instance_id teller, std::span<std::uint16_t const> in_flight, nanoseconds now);
+    /// Drops the counts of instances that fell silent.
+    void expire(nanoseconds now);
+
+    /// How many requests all tellers together have in flight at a target.
+    [[nodiscard]] std::uint32_t in_flight(std::size_t target) const { return m_sums[target]; }
+    [[nodiscard]] std::size_t size() const noexcept { return m_sums.size(); }
+    /// The instances whose counts are held.
+    [[nodiscard]] std::vector<instance_id> tellers() const;
+    /// Copies the sums into a pool that chooses by them.
+    void apply(target_pool& pool) const;
+
+private:
+    struct told {
+        std::vector<std::uint16_t> in_flight;
+        nanoseconds at{};
+    };
+
+    void subtract(told const& counts);
+
+    std::map<instance_id, told> m_told;
+    std::vector<std::uint32_t> m_sums;
+};
+
+} // namespace pomelospread
--- a/Libraries/Coordination/coordination/ratio_budget.hpp
+++ b/Libraries/Coordination/coordination/ratio_budget.hpp
@@ -14,7 +14,7 @@
     /// `share` is the largest ratio of extra to first tries; `burst` bounds what can be saved up.
     ratio_budget(double share, double burst) noexcept
         : m_earned(static_cast<std::int64_t>(share * unit)),
-          m_capacity(static_cast<std::int64_t>(burst * unit)), m_balance(m_capacity) {}
+          m_capacity(static_cast<std::int64_t>(burst * unit)) {}
 
     /// A first try was made.
     void earn() noexcept {
@@ -41,7 +41,7 @@
 
     std::int64_t m_earned;
     std::int64_t m_capacity;
-    std::atomic<std::int64_t> m_balance;
+    std::atomic<std::int64_t> m_balance{0}; ///< Starts empty, so that the share holds from the start.
 };
 
 } // namespace pomelospread
--- a/Libraries/Coordination/coordination/target_pool.cpp
+++ b/Libraries/Coordination/coordination/target_pool.cpp
@@ -112,8 +112,10 @@
             continue;
         }
         auto const peers = m_policy.peer_counts ? target.peer_in_flight.load(std::memory_order_relaxed) : 0;
-        auto const load = target.own_in_flight.load(std::memory_order_relaxed) + peers;
-        if (load >= capacity(target, now) || (best && load * load_unit > best->score)) {
+        auto const own = target.own_in_flight.load(std::memory_order_relaxed);
+        auto const load = own + peers;
+        auto const held = own + static_cast<std::uint32_t>(peers * m_policy.peer_limit_share);
+        if (held >= capacity(target, now) || (best && load * load_unit > best->score)) {
             continue;
         }
         auto const value = score(i, now, load);
@@ -246,8 +248,9 @@
     known.store(std::max(known.load(std::memory_order_relaxed), until.count()), std::memory_order_relaxed);
 }
 
-bool target_pool::is_leaving(std::uint32_t target, nanoseconds now) const noexcept {
-    return m_targets[target]->leaving_until.load(std::memory_order_relaxed) > now.count();
+nanoseconds target_pool::announced_leaving(std::uint32_t target, nanoseconds now) const noexcept {
+    auto const until = m_targets[target]->leaving_until.load(std::memory_order_relaxed);
+    return until == leaving_by_table || until <= now.count() ? nanoseconds::zero() : nanoseconds(until) - now;
 }
 
 nanoseconds target_pool::hedge_delay() const noexcept {
--- a/Libraries/Coordination/coordination/target_pool.hpp
+++ b/Libraries/Coordination/coordination/target_pool.hpp
@@ -33,7 +33,9 @@
     bool slow_start = true;          ///< Raise a new or returning target's share slowly.
     bool zone_preference = true;     ///< Break remaining ties by availability zone.
     double overdue_factor = 3.0;     ///< A request is overdue after this multiple of the usual latency.
-    std::int64_t queue_places = 1;   ///< Requests admitted per target beyond its slots.
+    /// How much of the other homes' counts is held against a target's places; all of it orders the targets.
+    double peer_limit_share = 0.5;
+    std::int64_t queue_places = 1; ///< Requests admitted per target beyond its slots.
     double hedge_quantile = 0.95;
     double hedge_share = 0.02;
     double retry_share = 0.1;
@@ -108,7 +110,9 @@
     void set_home_rank(home_rank rank) noexcept;
     /// The target announced that it leaves; it gets nothing new until `until`, also when others are full.
     void set_leaving(std::uint32_t target, nanoseconds until) noexcept;
-    [[nodiscard]] bool is_leaving(std::uint32_t target, nanoseconds now) const noexcept;
+    /// How much longer a target that announced that it leaves is left alone; zero for any other target,
+    /// also for one that leaves by the table.
+    [[nodiscard]] nanoseconds announced_leaving(std::uint32_t target, nanoseconds now) const noexcept;
 
     /// When to send a second copy of an idempotent request; zero while nothing is known.
     [[nodiscard]] nanoseconds hedge_delay() const noexcept;
--- a/Libraries/Entry/entry/claim_service.cpp
+++ b/Libraries/Entry/entry/claim_service.cpp
@@ -13,14 +13,8 @@
 
 namespace {
 
-constexpr std::size_t max_idle_relays = 8;
-constexpr auto max_relay_idle_time = std::chrono::milliseconds(500);
 constexpr auto outcome_poll = std::chrono::milliseconds(2);
-constexpr auto relay_connect_timeout = std::chrono::milliseconds(300);
 constexpr key_epoch tolerated_future_epochs = 2;
-/// Asks the receiver, as witness, to decide without the primary.
-constexpr std::string_view resolve_purpose = "resolve";
-constexpr std::string_view forward_purpose = "forward";
 
 key_epoch current_epoch() {
     return epoch_at(std::chrono::system_clock::now());
@@ -45,13 +39,6 @@
     return outcome;
 }
 
-outcome_kind kind_from_text(std::string_view text) {
-    if (text == "ran") {
-        return outcome_kind::ran;
-    }
-    return text == "not-run" ? outcome_kind::not_run : outcome_kind::unknown;
-}
-
 } // namespace
 
 request_result replay_result(request_outcome const& outcome) {
@@ -68,10 +55,9 @@
             .reason = "replayed"};
 }
 
-claim_service::claim_service(io_thread& thread, shared_parts& shared, peer_links& links,
+claim_service::claim_service(shared_parts& shared, peer_links& links, relay_client& relays,
                              pool_dispatcher& dispatcher)
-    : m_thread(thread), m_shared(shared), m_links(links), m_dispatcher(dispatcher),
-      m_relay_connections(thread.io(), max_idle_relays, max_relay_idle_time) {}
+    : m_shared(shared), m_links(links), m_relays(relays), m_dispatcher(dispatcher) {}
 
 std::string claim_service::mint(request_context const& context) {
     auto const& partners = context.pool->partners;
@@ -95,7 +81,7 @@
     if (prefix.primary == m_shared.self.id) {
         return serve_as_primary(context, prefix, request);
     }
-    if (prefix.witness == m_shared.self.id && field_of(request, header::relay) == resolve_purpose) {
+    if (prefix.witness == m_shared.self.id && field_of(request, header::relay) == relay_purpose::resolve) {
         return resolve(context, prefix);
     }
     return relay(context, prefix, request);
@@ -234,57 +220,20 @@
     if (!field_of(request, header::relay).empty()) {
         return failed_result(outcome_kind::unknown, "the instance that the key names is not this one");
     }
-    if (auto result = relay_to(context, prefix.primary, forward_purpose, request); result) {
+    if (auto result = m_relays.relay(context, prefix.primary, relay_purpose::forward, request); result) {
         return std::move(*result);
     }
     if (prefix.witness == m_shared.self.id) {
         return resolve(context, prefix);
     }
     if (prefix.witness != 0) {
-        if (auto result = relay_to(context, prefix.witness, resolve_purpose, request); result) {
+        if (auto result = m_relays.relay(context, prefix.witness, relay_purpose::resolve, request); result) {
             return std::move(*result);
         }
     }
     return failed_result(outcome_kind::unknown, "neither instance that the key names answered");
 }
 
-std::optional<request_result> claim_service::relay_to(request_context& context, instance_id where,
-                                                      std::string_view purpose, http_request const& request) {
-    auto const* member = context.fleet->find_member(where);
-    if (member == nullptr) {
-        return std::nullopt;
-    }
-    m_shared.counters.add(counter::relays);
-    log_claim(context, "relay", purpose);
-    auto relayed = request;
-    set_field(relayed, header::relay, purpose);
-    set_field(relayed, header::idempotency_key, context.key);
-    auto const left = context.deadline - std::chrono::steady_clock::now();
-    auto const left_ms = std::chrono::duration_cast<std::chrono::milliseconds>(left).count();
-    set_field(relayed, header::deadline_ms, std::to_string(std::max<std::int64_t>(1, left_ms)));
-    relayed.prepare_payload();
-    try {
-        auto const& address = member->entry.caller_address;
-        auto connection = m_relay_connections.take_idle(address);
-        if (connection == nullptr) {
-            connection = m_relay_connections.open(
-                address,
-                std::min(context.deadline, std::chrono::steady_clock::now() + relay_connect_timeout));
-        }
-        // The primary decides on copies, so a relay that broke may be followed by a resolution.
-        auto response = connection->exchange(relayed, m_shared.settings.http.max_body_bytes,
-                                             context.deadline + relay_connect_timeout);
-        m_relay_connections.give_back(address, std::move(connection));
-        auto const kind = kind_from_text(field_of(response, header::outcome));
-        context.recorded_elsewhere = true;
-        return request_result{.kind = kind, .response = std::move(response), .reason = "relayed"};
-    } catch (error const& failure) {
-        log_claim(context, "relay_failed", failure.what());
-        m_shared.report_unreachable(where);
-        return std::nullopt;
-    }
-}
-
 request_result claim_service::resolve(request_context& context, key_prefix const& prefix) {
     auto const outcome =
         m_shared.claims.with([&](claim_window& window) { return window.resolve(context.key, prefix.epoch); });
--- a/Libraries/Entry/entry/claim_service.hpp
+++ b/Libraries/Entry/entry/claim_service.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "entry/pool_dispatcher.hpp"
+#include "entry/relay_client.hpp"
 #include "entry/request_context.hpp"
 #include "entry/shared_parts.hpp"
 #include "protocol/peer_link.hpp"
@@ -11,7 +12,7 @@
 /// One thread's part in claims.
 class claim_service {
 public:
-    claim_service(io_thread& thread, shared_parts& shared, peer_links& links, pool_dispatcher& dispatcher);
+    claim_service(shared_parts& shared, peer_links& links, relay_client& relays, pool_dispatcher& dispatcher);
 
     /// Serves a request whose key is minted; `context.key` is set.
     /// Throws `invalid_input` naming `Idempotency-Key` when the key lies in the future.
@@ -33,15 +34,12 @@
     void tell_witness(request_context& context, key_prefix const& prefix, request_outcome outcome);
     request_result wait_for_outcome(request_context& context);
     request_result relay(request_context& context, key_prefix const& prefix, http_request const& request);
-    std::optional<request_result> relay_to(request_context& context, instance_id where,
-                                           std::string_view purpose, http_request const& request);
     request_result resolve(request_context& context, key_prefix const& prefix);
 
-    io_thread& m_thread;
     shared_parts& m_shared;
     peer_links& m_links;
+    relay_client& m_relays;
     pool_dispatcher& m_dispatcher;
-    connection_cache m_relay_connections;
 };
 
 /// The answer to a caller for a decided outcome.
--- a/Libraries/Entry/entry/fleet_control.cpp
+++ b/Libraries/Entry/entry/fleet_control.cpp
@@ -21,6 +21,8 @@
 /// How many times the usual fan-out a new version is told to at once.
 constexpr std::size_t news_rounds = 3;
 constexpr std::size_t usual_rounds = 1;
+/// Counts of requests in progress are told again this often, before `peer_loads::max_age`.
+constexpr auto load_renewal = std::chrono::milliseconds(300);
 constexpr auto idle_load_interval = std::chrono::milliseconds(20);
 
 std::int64_t unix_ms_now() {
@@ -135,6 +137,7 @@
     m_encoded_tables = std::string(encoded);
     m_in_force_unix_ms = unix_ms_now();
     m_published.clear();
+    m_peer_loads.clear();
     publish();
     m_shared.counters.add(counter::tables_applied);
     log_line(log_level::info, "tables_in_force")
@@ -231,35 +234,90 @@
 
 void fleet_control::share_loads() {
     auto const changes = m_shared.load_changes.load();
-    if (changes == m_shared_changes) {
+    bool const renew = m_shared.in_progress.load() > 0 && steady_now() - m_loads_told > load_renewal;
+    if (changes == m_shared_changes && !renew) {
         boost::this_fiber::sleep_for(idle_load_interval);
         return;
     }
     m_shared_changes = changes;
+    m_loads_told = steady_now();
     auto const fleet = m_shared.fleet.load();
     for (auto const& [name, pool] : fleet->pools) {
-        if (pool.other_homes.empty()) {
-            continue;
-        }
-        load_message message{.pool = name, .tables_version = fleet->content->version, .in_flight = {}};
-        for (std::uint32_t i = 0; i < pool.targets->size(); ++i) {
-            message.in_flight.push_back(static_cast<std::uint16_t>(pool.targets->in_flight(i)));
+        tell_loads(*fleet, name, pool);
+    }
+}
+
+void fleet_control::tell_loads(fleet_state const& fleet, std::string const& name, pool_runtime const& pool) {
+    auto const receivers = load_receivers(fleet, name, pool);
+    if (receivers.empty()) {
+        return;
+    }
+    auto const message = describe_loads(fleet, name, pool);
+    bool const is_idle = std::ranges::all_of(message.in_flight, [](auto count) { return count == 0; });
+    if (!pool.is_home && is_idle && message.leaving.empty()) {
+        return;
+    }
+    for (auto const& receiver : receivers) {
+        m_links.to(receiver)->post(message);
+    }
+}
+
+load_message fleet_control::describe_loads(fleet_state const& fleet, std::string const& name,
+                                           pool_runtime const& pool) const {
+    load_message message{
+        .pool = name, .tables_version = fleet.content->version, .in_flight = {}, .leaving = {}};
+    auto const now = steady_now();
+    for (std::uint32_t i = 0; i < pool.targets->size(); ++i) {
+        message.in_flight.push_back(static_cast<std::uint16_t>(pool.targets->in_flight(i)));
+        auto const remaining = pool.targets->announced_leaving(i, now);
+        if (remaining > nanoseconds::zero()) {
+            auto const milliseconds =
+                std::chrono::duration_cast<std::chrono::milliseconds>(remaining).count();
+            message.leaving.push_back({.target = static_cast<std::uint16_t>(i),
+                                       .remaining_ms = static_cast<std::uint32_t>(milliseconds)});
         }
-        for (auto const& home : pool.other_homes) {
-            m_links.to(home)->post(message);
+    }
+    return message;
+}
+
+std::vector<instance_entry> fleet_control::load_receivers(fleet_state const& fleet, std::string const& name,
+                                                          pool_runtime const& pool) const {
+    auto receivers = pool.other_homes;
+    auto const known = m_peer_loads.find(name);
+    if (known == m_peer_loads.end()) {
+        return receivers;
+    }
+    // Who serves the pool without being its home tells the homes, and is told by them.
+    for (auto const teller : known->second.tellers()) {
+        auto const* member = fleet.find_member(teller);
+        bool const listed =
+            std::ranges::any_of(receivers, [&](auto const& entry) { return entry.id == teller; });
+        if (member != nullptr && !listed) {
+            receivers.push_back(member->entry);
         }
     }
+    return receivers;
+}
+
+peer_loads& fleet_control::loads_of(std::string const& name, pool_runtime const& pool) {
+    return m_peer_loads.try_emplace(name, pool.targets->size()).first->second;
 }
 
-void fleet_control::receive_load(load_message const& message) {
+void fleet_control::receive_load(instance_id from, load_message const& message) {
     auto const fleet = m_shared.fleet.load();
     auto const* pool = fleet->find_pool(message.pool);
     if (pool == nullptr || message.tables_version != fleet->content->version) {
         return;
     }
-    auto const count = std::min(message.in_flight.size(), pool->targets->size());
-    for (std::uint32_t i = 0; i < count; ++i) {
-        pool->targets->set_peer_in_flight(i, message.in_flight[i]);
+    auto const now = steady_now();
+    auto& loads = loads_of(message.pool, *pool);
+    loads.receive(from, message.in_flight, now);
+    loads.expire(now);
+    loads.apply(*pool->targets);
+    for (auto const& leaving : message.leaving) {
+        if (leaving.target < pool->targets->size()) {
+            pool->targets->set_leaving(leaving.target, now + std::chrono::milliseconds(leaving.remaining_ms));
+        }
     }
     pool->queue->wake_next();
 }
@@ -288,7 +346,7 @@
             [&](claim_window& window) { window.learn(told.key, told.epoch, std::move(told.outcome)); });
     }
     for (auto const& load : batch.loads) {
-        receive_load(load);
+        receive_load(from, load);
     }
     for (auto const& request : batch.tables) {
         reply.acks.push_back(
--- a/Libraries/Entry/entry/fleet_control.hpp
+++ b/Libraries/Entry/entry/fleet_control.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "coordination/membership.hpp"
+#include "coordination/peer_loads.hpp"
 #include "coordination/table_store.hpp"
 #include "entry/shared_parts.hpp"
 #include "protocol/peer_link.hpp"
@@ -58,7 +59,13 @@
     void share_loads();
     void adopt(std::string_view encoded, std::string_view source);
     void publish();
-    void receive_load(load_message const& message);
+    void receive_load(instance_id from, load_message const& message);
+    void tell_loads(fleet_state const& fleet, std::string const& name, pool_runtime const& pool);
+    [[nodiscard]] load_message describe_loads(fleet_state const& fleet, std::string const& name,
+                                              pool_runtime const& pool) const;
+    [[nodiscard]] std::vector<instance_entry>
+    load_receivers(fleet_state const& fleet, std::string const& name, pool_runtime const& pool) const;
+    peer_loads& loads_of(std::string const& name, pool_runtime const& pool);
     [[nodiscard]] std::set<instance_id> living() const;
 
     io_thread& m_thread;
@@ -72,6 +79,8 @@
     std::shared_ptr<tables const> m_content = std::make_shared<tables>();
     std::int64_t m_in_force_unix_ms = 0;
     std::uint64_t m_shared_changes = 0;
+    nanoseconds m_loads_told{};
+    std::map<std::string, peer_loads> m_peer_loads; ///< By pool; dropped with each version of the tables.
     std::vector<member_view> m_published;
     bool m_platform_answers = false;
     bool m_stopping = false;
--- a/Libraries/Entry/entry/fleet_state.cpp
+++ b/Libraries/Entry/entry/fleet_state.cpp
@@ -71,10 +71,11 @@
 void set_homes(pool_runtime& runtime, pool_row const& row, fleet_state const& state) {
     auto homes = home_instances(row.name, static_cast<std::size_t>(row.homes), state.members);
     auto const own = std::ranges::find(homes, state.self.id, &instance_entry::id);
-    bool const is_home = own != homes.end();
+    runtime.is_home = own != homes.end();
     target_pool::home_rank const rank{.rank = static_cast<std::uint32_t>(own - homes.begin()),
-                                      .homes = is_home ? static_cast<std::uint32_t>(homes.size()) : 1};
-    runtime.targets->set_home_rank(is_home ? rank : target_pool::home_rank{});
+                                      .homes =
+                                          runtime.is_home ? static_cast<std::uint32_t>(homes.size()) : 1};
+    runtime.targets->set_home_rank(runtime.is_home ? rank : target_pool::home_rank{});
     std::erase_if(homes, [&](auto const& home) { return home.id == state.self.id; });
     runtime.other_homes = std::move(homes);
     runtime.partners = partners(state.self, row, state.members);
--- a/Libraries/Entry/entry/fleet_state.hpp
+++ b/Libraries/Entry/entry/fleet_state.hpp
@@ -54,6 +54,7 @@
 struct pool_runtime {
     std::shared_ptr<target_pool> targets;
     std::shared_ptr<pool_queue> queue;
+    bool is_home = false;                    ///< Whether this instance is one of the pool's homes.
     std::vector<instance_entry> other_homes; ///< Those that in-flight counts are exchanged with.
     std::vector<instance_entry> partners;    ///< For claims and account records, best first.
 };
--- a/Libraries/Entry/entry/request_handler.cpp
+++ b/Libraries/Entry/entry/request_handler.cpp
@@ -83,10 +83,11 @@
 } // namespace
 
 request_handler::request_handler(io_thread& thread, shared_parts& shared)
-    : m_thread(thread), m_shared(shared),
+    : m_shared(shared),
       m_links(thread, shared.self.id, shared.account.stored_through(),
               [&shared](instance_id peer) { shared.report_unreachable(peer); }),
-      m_dispatcher(thread, shared), m_claims(thread, shared, m_links, m_dispatcher) {}
+      m_relays(thread.io(), shared), m_dispatcher(thread, shared),
+      m_claims(shared, m_links, m_relays, m_dispatcher) {}
 
 http_response request_handler::handle(http_request& request) {
     try {
@@ -173,6 +174,9 @@
     if (!is_decided_here(context)) {
         return serve(context, request);
     }
+    if (auto result = relay_to_home(context, request); result) {
+        return std::move(*result);
+    }
     auto const limit_key = context.record.customer + "\n" + context.route->name;
     if (!m_shared.customers.try_enter(limit_key, context.route->customer_concurrency)) {
         m_shared.counters.add(counter::refused_customer_limit);
@@ -190,6 +194,18 @@
     return result;
 }
 
+std::optional<request_result> request_handler::relay_to_home(request_context& context,
+                                                             http_request const& request) {
+    auto const& pool = *context.pool;
+    bool const was_relayed = !field_of(request, header::relay).empty();
+    if (!context.route->idempotent || pool.is_home || was_relayed || pool.other_homes.empty()) {
+        return std::nullopt;
+    }
+    auto const& home = pool.other_homes[thread_random()() % pool.other_homes.size()];
+    // A lookup may run twice, so a relay that broke is followed by serving it here.
+    return m_relays.relay(context, home.id, relay_purpose::forward, request);
+}
+
 bool request_handler::is_decided_here(request_context const& context) const {
     return context.key.empty() || parse_key(context.key).primary == m_shared.self.id;
 }
--- a/Libraries/Entry/entry/request_handler.hpp
+++ b/Libraries/Entry/entry/request_handler.hpp
@@ -23,6 +23,8 @@
     http_response forward(http_request& request);
     request_result serve(request_context& context, http_request& request);
     request_result serve_within_limit(request_context& context, http_request& request);
+    /// Passes a lookup on to a home of its pool, which knows the targets' load; nothing when none answered.
+    std::optional<request_result> relay_to_home(request_context& context, http_request const& request);
     /// Refuses a request that was not served, finally for its key.
     request_result refuse(request_context& context, std::string reason);
     /// Whether this instance decides on the request, not one that its key names.
@@ -35,9 +37,9 @@
     void finish_replication(request_context& context, request_result const& result);
     http_response finish(request_context& context, request_result result, nanoseconds started);
 
-    io_thread& m_thread;
     shared_parts& m_shared;
     peer_links m_links;
+    relay_client m_relays;
     pool_dispatcher m_dispatcher;
     claim_service m_claims;
 };
--- a/Libraries/Protocol/protocol/peer_messages.cpp
+++ b/Libraries/Protocol/protocol/peer_messages.cpp
@@ -57,9 +57,14 @@
     archive(value.key, value.epoch, value.outcome);
 }
 
+template<class Archive>
+void serialize(Archive& archive, leaving_target& value) {
+    archive(value.target, value.remaining_ms);
+}
+
 template<class Archive>
 void serialize(Archive& archive, load_message& value) {
-    archive(value.pool, value.tables_version, value.in_flight);
+    archive(value.pool, value.tables_version, value.in_flight, value.leaving);
 }
 
 template<class Archive>
--- a/Libraries/Protocol/protocol/peer_messages.hpp
+++ b/Libraries/Protocol/protocol/peer_messages.hpp
@@ -42,11 +42,18 @@
     request_outcome outcome;
 };
 
+/// A target that announced that it leaves, and for how much longer it is left alone.
+struct leaving_target {
+    std::uint16_t target = 0;
+    std::uint32_t remaining_ms = 0;
+};
+
 /// Tells another home how many requests are in flight at targets of a pool.
 struct load_message {
     std::string pool;
     std::uint64_t tables_version = 0;
     std::vector<std::uint16_t> in_flight; ///< By the target's position in the pool row.
+    std::vector<leaving_target> leaving;
 };
 
 /// Asks for the tables in force, for example by an instance that starts while the platform is away.
