--- a/Libraries/Coordination/coordination/target_pool.cpp
+++ b/Libraries/Coordination/coordination/target_pool.cpp
@@ -13,6 +13,7 @@
 constexpr std::uint32_t foreign_share_penalty = 8;
 constexpr std::uint32_t foreign_zone_penalty = 4;
 constexpr std::int64_t never_warmed = -1;
+constexpr std::uint32_t full_scan = 64;
 constexpr double quantile_step = 0.05;
 
 } // namespace
@@ -103,7 +104,11 @@
                                                                   bool ignore_ejection) const {
     std::optional<candidate> best;
     std::uint32_t ties = 0;
-    for (std::uint32_t i = 0; i < m_targets.size(); ++i) {
+    auto const count = static_cast<std::uint32_t>(m_targets.size());
+    // A pool beyond `full_scan` is looked at from a random position, until enough targets were seen.
+    std::uint32_t const first = count <= full_scan ? 0 : static_cast<std::uint32_t>(random() % count);
+    for (std::uint32_t seen = 0; seen < count && (seen < full_scan || !best); ++seen) {
+        auto const i = first + seen < count ? first + seen : first + seen - count;
         auto const& target = *m_targets[i];
         if (i == excluded || target.leaving_until.load(std::memory_order_relaxed) > now.count()) {
             continue;
--- a/Libraries/Entry/entry/fleet_control.cpp
+++ b/Libraries/Entry/entry/fleet_control.cpp
@@ -23,7 +23,7 @@
 constexpr std::size_t usual_rounds = 1;
 /// Counts of requests in progress are told again this often, before `peer_loads::max_age`.
 constexpr auto load_renewal = std::chrono::milliseconds(300);
-constexpr auto idle_load_interval = std::chrono::milliseconds(20);
+constexpr auto idle_load_interval = std::chrono::milliseconds(100);
 
 std::int64_t unix_ms_now() {
     auto const now = std::chrono::system_clock::now().time_since_epoch();
@@ -70,7 +70,7 @@
 
 void fleet_control::run_every(std::chrono::milliseconds period, fiber_body body) {
     m_thread.spawn([this, period, body] {
-        constexpr auto stop_check = std::chrono::milliseconds(100);
+        constexpr auto stop_check = std::chrono::milliseconds(500);
         while (!m_stopping) {
             (this->*body)();
             auto const next = std::chrono::steady_clock::now() + period;
--- a/Libraries/Entry/entry/pool_dispatcher.cpp
+++ b/Libraries/Entry/entry/pool_dispatcher.cpp
@@ -6,7 +6,8 @@
 #include <boost/fiber/condition_variable.hpp>
 #include <boost/fiber/mutex.hpp>
 
-#include <array>
+#include <boost/asio/steady_timer.hpp>
+
 #include <utility>
 
 namespace pomelospread {
@@ -34,6 +35,10 @@
     return exchange_result::failed;
 }
 
+bool is_whole(try_outcome const& outcome) {
+    return outcome.result == try_result::answered && outcome.response->result_int() < 500;
+}
+
 std::int64_t unix_ms_of(steady_time deadline) {
     auto const left = deadline - std::chrono::steady_clock::now();
     auto const at = std::chrono::system_clock::now() + left;
@@ -57,19 +62,18 @@
 
 } // namespace
 
-/// Two tries of one request and the first whole answer. Belongs to one thread.
-struct pool_dispatcher::shared_try {
+/// A second copy of a lookup and its state. Belongs to one thread.
+struct pool_dispatcher::hedge_state {
     boost::fibers::mutex mutex;
     boost::fibers::condition_variable changed;
-    std::array<target_exchange::cancel_handle, 2> handles;
-    std::array<bool, 2> done{};
-    std::size_t started = 0;
-    std::optional<std::size_t> winner;
-    try_outcome outcome;
+    target_exchange::cancel_handle first;
+    target_exchange::cancel_handle second;
+    bool first_ended = false;
+    bool second_started = false;
+    bool second_ended = false;
+    try_outcome second_outcome;
 
-    [[nodiscard]] bool is_decided() const {
-        return winner.has_value() || (done[0] && (started < 2 || done[1]));
-    }
+    [[nodiscard]] bool second_is_whole() const { return second_ended && is_whole(second_outcome); }
 };
 
 pool_dispatcher::pool_dispatcher(io_thread& thread, shared_parts& shared)
@@ -218,19 +222,27 @@
     }
 }
 
-void pool_dispatcher::start_try(std::shared_ptr<shared_try> const& state, request_context& context,
-                                target_ticket ticket, http_request const& request, std::size_t index) {
-    ++state->started;
-    // The request's own fiber may return while the loser still ends, so the loser shares what it uses.
+void pool_dispatcher::start_hedge(std::shared_ptr<hedge_state> const& state, request_context const& context,
+                                  target_ticket const& first, http_request const& request) {
+    auto& pool = *context.pool->targets;
+    if (context.pool->queue->size() > 0 || !pool.hedge_budget().try_spend()) {
+        return;
+    }
+    auto const ticket = pool.try_start(steady_now(), thread_random(), first.target);
+    if (!ticket) {
+        return;
+    }
+    m_shared.counters.add(counter::hedges);
+    log_choice(context, *ticket, "hedge");
+    state->second_started = true;
+    // The request may be answered while its second copy still ends, so that copy owns what it uses.
     auto own = std::make_shared<request_context>(context);
     auto sent = std::make_shared<http_request>(request);
-    m_thread.spawn([this, state, own, sent, ticket, index] {
-        auto outcome = run_try(*own, ticket, *sent, true, state->handles[index]);
-        state->done[index] = true;
-        bool const whole = outcome.result == try_result::answered && outcome.response->result_int() < 500;
-        if (!state->winner && (whole || state->is_decided())) {
-            state->winner = index;
-            state->outcome = std::move(outcome);
+    m_thread.spawn([this, state, own, sent, ticket] {
+        state->second_outcome = run_try(*own, *ticket, *sent, true, state->second);
+        state->second_ended = true;
+        if (state->second_is_whole() && !state->first_ended) {
+            state->first.cancel();
         }
         state->changed.notify_all();
     });
@@ -241,31 +253,34 @@
     auto& pool = *context.pool->targets;
     pool.hedge_budget().earn();
     auto const delay = pool.hedge_delay();
-    if (!context.route->hedge || delay == nanoseconds::zero() || pool.size() < 2) {
-        target_exchange::cancel_handle handle;
-        return run_try(context, first, request, true, handle);
+    auto const state = std::make_shared<hedge_state>();
+    boost::asio::steady_timer timer(m_thread.io());
+    if (context.route->hedge && delay > nanoseconds::zero() && pool.size() > 1) {
+        timer.expires_after(delay);
+        // A handler that was queued before the cancellation still runs; `first_ended` tells it so.
+        timer.async_wait([this, state, &context, &first, &request](boost::system::error_code error) {
+            if (!error && !state->first_ended) {
+                start_hedge(state, context, first, request);
+            }
+        });
     }
-    auto const state = std::make_shared<shared_try>();
-    start_try(state, context, first, request, 0);
-    std::unique_lock lock(state->mutex);
-    auto const decided = [&] { return state->is_decided(); };
-    if (!state->changed.wait_until(lock, std::chrono::steady_clock::now() + delay, decided) &&
-        context.pool->queue->size() == 0 && pool.hedge_budget().try_spend()) {
-        if (auto const second = pool.try_start(steady_now(), thread_random(), first.target); second) {
-            m_shared.counters.add(counter::hedges);
-            log_choice(context, *second, "hedge");
-            start_try(state, context, *second, request, 1);
-        }
+    auto outcome = run_try(context, first, request, true, state->first);
+    state->first_ended = true;
+    timer.cancel();
+    if (!state->second_started) {
+        return outcome;
     }
-    state->changed.wait(lock, decided);
-    auto const winner = state->winner.value_or(0);
-    if (winner == 1) {
-        m_shared.counters.add(counter::hedge_wins);
+    if (is_whole(outcome)) {
+        state->second.cancel();
+        return outcome;
     }
-    if (state->started == 2 && !state->done[1 - winner]) {
-        state->handles[1 - winner].cancel();
+    std::unique_lock lock(state->mutex);
+    state->changed.wait(lock, [&] { return state->second_ended; });
+    if (!state->second_is_whole()) {
+        return outcome;
     }
-    return std::move(state->outcome);
+    m_shared.counters.add(counter::hedge_wins);
+    return std::move(state->second_outcome);
 }
 
 } // namespace pomelospread
--- a/Libraries/Entry/entry/pool_dispatcher.hpp
+++ b/Libraries/Entry/entry/pool_dispatcher.hpp
@@ -19,7 +19,7 @@
     request_result dispatch_once(request_context& context, http_request const& request);
 
 private:
-    struct shared_try;
+    struct hedge_state;
 
     /// A place at a target, waiting in the queue when every target is full.
     /// Throws `deadline_exceeded`, or `queue_full`.
@@ -28,8 +28,8 @@
     try_outcome run_try(request_context& context, target_ticket const& ticket, http_request const& request,
                         bool idempotent, target_exchange::cancel_handle& handle);
     try_outcome run_hedged(request_context& context, target_ticket const& first, http_request const& request);
-    void start_try(std::shared_ptr<shared_try> const& state, request_context& context, target_ticket ticket,
-                   http_request const& request, std::size_t index);
+    void start_hedge(std::shared_ptr<hedge_state> const& state, request_context const& context,
+                     target_ticket const& first, http_request const& request);
     void log_choice(request_context const& context, target_ticket const& ticket,
                     std::string_view purpose) const;
     void release(request_context const& context, target_ticket const& ticket, exchange_result result);
--- a/Libraries/Transport/transport/io_thread.cpp
+++ b/Libraries/Transport/transport/io_thread.cpp
@@ -2,8 +2,6 @@
 
 #include "transport/fiber_scheduler.hpp"
 
-#include <boost/fiber/condition_variable.hpp>
-#include <boost/fiber/mutex.hpp>
 #include <boost/fiber/operations.hpp>
 
 #include <pthread.h>
@@ -24,8 +22,11 @@
     if (!m_thread.joinable()) {
         return;
     }
-    m_stopping = true;
-    boost::asio::post(m_io, [] {});
+    {
+        std::unique_lock lock(m_stop_mutex);
+        m_stopping = true;
+    }
+    m_stop_wake.notify_all();
     m_thread.join();
 }
 
@@ -48,12 +49,13 @@
     urcu_memb_register_thread();
     boost::fibers::use_scheduling_algorithm<fiber_scheduler>(m_io);
     // The thread's first fiber only waits; the dispatcher fiber runs the io_context in the meantime.
-    constexpr auto stop_poll = std::chrono::milliseconds(50);
-    boost::fibers::mutex mutex;
-    boost::fibers::condition_variable stopped;
-    std::unique_lock lock(mutex);
-    while (!m_stopping || m_live_fibers.load() > 0) {
-        stopped.wait_for(lock, m_stopping ? stop_poll / 10 : stop_poll);
+    {
+        std::unique_lock lock(m_stop_mutex);
+        m_stop_wake.wait(lock, [&] { return m_stopping.load(); });
+    }
+    constexpr auto fiber_end_poll = std::chrono::milliseconds(5);
+    while (m_live_fibers.load() > 0) {
+        boost::this_fiber::sleep_for(fiber_end_poll);
     }
     urcu_memb_unregister_thread();
 }
--- a/Libraries/Transport/transport/io_thread.hpp
+++ b/Libraries/Transport/transport/io_thread.hpp
@@ -6,7 +6,9 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/fiber/condition_variable.hpp>
 #include <boost/fiber/fiber.hpp>
+#include <boost/fiber/mutex.hpp>
 
 #include <atomic>
 #include <functional>
@@ -48,6 +50,8 @@
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_guard;
     std::atomic<std::size_t> m_live_fibers{0};
     std::atomic<bool> m_stopping{false};
+    boost::fibers::mutex m_stop_mutex;
+    boost::fibers::condition_variable m_stop_wake;
     std::thread m_thread;
 };
 
