--- a/Libraries/Coordination/coordination/membership.cpp
+++ b/Libraries/Coordination/coordination/membership.cpp
@@ -131,12 +131,17 @@
     return result;
 }
 
+double membership::rarity() const {
+    auto const others = static_cast<double>(m_members.size());
+    return std::max(1.0, others / static_cast<double>(m_limits.digests_per_message));
+}
+
 member_status membership::status_of(member const& value) const {
     auto const silence = m_now - value.advanced;
-    if (silence > m_limits.dead_after) {
+    if (silence > m_limits.dead_after * rarity()) {
         return member_status::dead;
     }
-    if (value.doubted || silence > m_limits.suspect_after) {
+    if (value.doubted || silence > m_limits.suspect_after * rarity()) {
         return member_status::suspect;
     }
     return value.entry.leaving ? member_status::leaving : member_status::alive;
--- a/Libraries/Coordination/coordination/membership.hpp
+++ b/Libraries/Coordination/coordination/membership.hpp
@@ -37,6 +37,8 @@
 
 struct membership_limits {
     std::chrono::milliseconds heartbeat_period{250};
+    /// Both hold while a message has room for every member; beyond that they grow with the fleet, since the
+    /// bytes a second stay the same and news of each member becomes rarer.
     std::chrono::milliseconds suspect_after{1500};
     std::chrono::milliseconds dead_after{5000};
     /// A gap between two ticks that shows that this process was paused.
@@ -91,6 +93,8 @@
         bool confirmed = false; ///< A heartbeat was seen, not only the platform's list.
     };
 
+    /// How many times rarer news of a member is than in a fleet that fits one message.
+    [[nodiscard]] double rarity() const;
     [[nodiscard]] member_status status_of(member const& value) const;
     void forget_dead();
 
--- a/Libraries/State/state/tables.cpp
+++ b/Libraries/State/state/tables.cpp
@@ -61,11 +61,6 @@
         check_integer(row, "connections_per_target", pool.connections_per_target, 1,
                       table_limits::max_connections);
         check_integer(row, "homes", pool.homes, 1, table_limits::max_homes);
-        if (!(pool.probes_per_second >= 0.0 &&
-              pool.probes_per_second <= table_limits::max_probes_per_second)) {
-            add(row + ".probes_per_second", std::to_string(pool.probes_per_second) + " is out of range",
-                "0 to 1000");
-        }
         std::set<endpoint> addresses;
         for (auto const& target : pool.targets) {
             check_target(row, target, addresses);
--- a/Libraries/State/state/tables.hpp
+++ b/Libraries/State/state/tables.hpp
@@ -40,7 +40,6 @@
     std::string name;
     std::int64_t slots_per_target = 1;
     std::int64_t connections_per_target = 100; ///< Of the whole fleet.
-    double probes_per_second = 0.0;            ///< Agreed probe budget of one target, of the whole fleet.
     std::int64_t homes = 2;                    ///< Instances that callers are sent to for this pool.
     std::vector<target_row> targets;
 
@@ -65,7 +64,6 @@
     static constexpr std::int64_t max_homes = 64;
     static constexpr std::int64_t max_deadline_ms = 600000;
     static constexpr std::int64_t max_customer_concurrency = 100000;
-    static constexpr double max_probes_per_second = 1000.0;
     static constexpr std::size_t max_name_characters = 64;
 };
 
--- a/Libraries/State/state/tables_toml.cpp
+++ b/Libraries/State/state/tables_toml.cpp
@@ -140,12 +140,11 @@
     pool_row read_pool(toml::table const& row, std::string const& where) {
         check_known(
             row, where,
-            {"name", "slots_per_target", "connections_per_target", "probes_per_second", "homes", "target"});
+            {"name", "slots_per_target", "connections_per_target", "homes", "target"});
         pool_row pool;
         read_field(row, where, "name", pool.name, true, "string");
         read_field(row, where, "slots_per_target", pool.slots_per_target, true, "integer");
         read_field(row, where, "connections_per_target", pool.connections_per_target, false, "integer");
-        read_field(row, where, "probes_per_second", pool.probes_per_second, false, "number");
         read_field(row, where, "homes", pool.homes, false, "integer");
         if (auto const* targets = row.get_as<toml::array>("target"); targets != nullptr) {
             for (auto const& element : *targets) {
@@ -248,7 +247,6 @@
     for (auto const& pool : sorted_by_name(value.pools)) {
         text << "[[pool]]\nname = " << quoted(pool.name) << "\nslots_per_target = " << pool.slots_per_target
              << "\nconnections_per_target = " << pool.connections_per_target
-             << "\nprobes_per_second = " << toml::value<double>(pool.probes_per_second)
              << "\nhomes = " << pool.homes << "\n";
         auto targets = pool.targets;
         std::ranges::sort(targets);
--- a/Tests/State/test_tables.cpp
+++ b/Tests/State/test_tables.cpp
@@ -17,7 +17,6 @@
 constexpr char const* good_pools = R"([[pool]]
 name = "badge-register"
 slots_per_target = 6
-probes_per_second = 0.5
 [[pool.target]]
 address = "127.0.0.1:7101"
 zone = "civic-hall"
@@ -55,10 +54,10 @@
         {"= 1\n", "", "routes.toml:7: syntax"},
         {"[[route]]\nname = \"x\"\n", "", "routes.toml:7: route \"x\".path_prefix: is missing"},
         {"", "[[pool.target]]\naddress = \"here:1\"\nzone = \"a\"\n",
-         "pools.toml:8: pool \"badge-register\".target.address"},
+         "pools.toml:7: pool \"badge-register\".target.address"},
         {"", "[[pool.target]]\naddress = \"127.0.0.1:7101\"\nzone = \"a\"\n", "stands twice"},
         {"", "[[pool]]\nname = \"p\"\nslots_per_target = 5000\n",
-         "pools.toml:8: pool \"p\".slots_per_target: 5000 is out of range (allowed: 1 to 4096)"},
+         "pools.toml:7: pool \"p\".slots_per_target: 5000 is out of range (allowed: 1 to 4096)"},
         {"", "[[pool]]\nname = \"A b\"\nslots_per_target = 1\n", "is not a name"},
     };
     for (auto const& each : cases) {
