Choice of target: Give small pools one home, and make the limit a true one

(1) In the fast-failing case the omniscient queue used the failing target, whose quick failures counted as latencies. Change: the limit knows failing targets; a failed request has no latency, its share is told beside; homes = 0, now the default, gives a pool of up to 16 slots one home and larger ones two.

--- a/Benches/policy/scenario.hpp
+++ b/Benches/policy/scenario.hpp
@@ -37,7 +37,6 @@
 /// What both users' network and instances look like.
 struct fleet_shape {
     static constexpr std::uint32_t instances = 15;
-    static constexpr std::uint32_t homes = 2;
     static constexpr double one_way = 0.00075; ///< Between instance and target, seconds.
     static constexpr double between_homes = 0.0015;
     static constexpr double mean_service = 0.010;
--- a/Benches/policy/simulation.cpp
+++ b/Benches/policy/simulation.cpp
@@ -240,7 +240,8 @@
     }
     state.done = true;
     m_result.failures += failed ? 1 : 0;
-    if (state.arrived >= warm_up_seconds) {
+    // A failed request has no latency worth counting; its share is told beside.
+    if (state.arrived >= warm_up_seconds && !failed) {
         m_result.latencies_ms.push_back(static_cast<float>((m_now + state.way_back - state.arrived) * 1000));
     }
 }
--- a/Benches/policy/simulation.hpp
+++ b/Benches/policy/simulation.hpp
@@ -83,6 +83,8 @@
     [[nodiscard]] std::size_t target_count() const noexcept { return m_targets.size(); }
     [[nodiscard]] bool is_present(std::uint32_t target) const { return m_targets[target].present; }
     [[nodiscard]] std::uint32_t in_target(std::uint32_t target) const;
+    /// Whether the target answers every request with a failure now.
+    [[nodiscard]] bool fails_fast(std::uint32_t target) const;
     [[nodiscard]] std::uint32_t slots() const noexcept { return m_settings.pool.slots; }
     [[nodiscard]] std::mt19937_64& random() noexcept { return m_random; }
     /// Sends a try; it reaches the target one network latency later.
@@ -132,7 +134,6 @@
     void start_next(strategy& policy, std::uint32_t target);
     void start(strategy& policy, copy_handle const& copy);
     [[nodiscard]] virtual_time end_of_work(fake_target const& target, double work) const;
-    [[nodiscard]] bool fails_fast(std::uint32_t target) const;
 
     run_settings m_settings;
     std::mt19937_64 m_random;
--- a/Benches/policy/strategies.cpp
+++ b/Benches/policy/strategies.cpp
@@ -153,7 +153,7 @@
         std::optional<std::uint32_t> best;
         std::uint32_t least = world.slots();
         for (std::uint32_t target = 0; target < world.target_count(); ++target) {
-            if (m_present[target] && world.in_target(target) < least) {
+            if (m_present[target] && !world.fails_fast(target) && world.in_target(target) < least) {
                 least = world.in_target(target);
                 best = target;
             }
@@ -170,8 +170,8 @@
     bool hedges = true;
     bool homes = true;
     bool shares_loads = true;
-    bool relays = true; ///< An instance that is no home passes lookups on to one.
-    std::uint32_t home_count = fleet_shape::homes;
+    bool relays = true;            ///< An instance that is no home passes lookups on to one.
+    std::uint32_t homes_asked = 0; ///< 0 lets the pool's size decide, as in the tables.
 };
 
 /// The entry instance's decision code: target_pool, waiting_queue and peer_loads, one set an instance.
@@ -188,10 +188,12 @@
         for (std::uint32_t i = 0; i < fleet_shape::instances; ++i) {
             m_instances.push_back(std::make_unique<instance_state>(m_row, m_options.policy));
         }
+        m_row.homes = m_options.homes_asked;
+        m_home_count = static_cast<std::uint32_t>(home_count(m_row));
         rank_homes(0);
     }
 
-    [[nodiscard]] std::uint32_t homes() const override { return m_options.homes ? m_options.home_count : 0; }
+    [[nodiscard]] std::uint32_t homes() const override { return m_options.homes ? m_home_count : 0; }
 
     void arrived(simulation& world, std::uint32_t request) override {
         m_requests.resize(request + 1);
@@ -256,7 +258,7 @@
 
     void instance_died(simulation&, std::uint32_t instance) override {
         m_dead[instance] = true;
-        rank_homes(m_options.home_count);
+        rank_homes(m_home_count);
     }
 
 private:
@@ -278,11 +280,11 @@
     void rank_homes(std::uint32_t first) {
         m_homes.clear();
         m_homes.push_back(first);
-        for (std::uint32_t i = 1; i < m_options.home_count; ++i) {
+        for (std::uint32_t i = 1; i < m_home_count; ++i) {
             m_homes.push_back(i);
         }
         for (std::uint32_t i = 0; i < m_homes.size() && m_options.homes; ++i) {
-            m_instances[m_homes[i]]->targets->set_home_rank({.rank = i, .homes = m_options.home_count});
+            m_instances[m_homes[i]]->targets->set_home_rank({.rank = i, .homes = m_home_count});
         }
     }
 
@@ -402,6 +404,7 @@
     std::mt19937_64 m_random;
     pool_row m_row;
     std::vector<std::unique_ptr<instance_state>> m_instances;
+    std::uint32_t m_home_count = 0;
     std::vector<std::uint32_t> m_homes;
     std::array<bool, fleet_shape::instances> m_dead{};
     std::vector<request_tries> m_requests;
@@ -461,11 +464,15 @@
 };
 constexpr auto one_home = [](system_options& options) {
     options.hedges = false;
-    options.home_count = 1;
+    options.homes_asked = 1;
+};
+constexpr auto two_homes = [](system_options& options) {
+    options.hedges = false;
+    options.homes_asked = 2;
 };
 constexpr auto three_homes = [](system_options& options) {
     options.hedges = false;
-    options.home_count = 3;
+    options.homes_asked = 3;
 };
 constexpr auto no_queue_place = [](system_options& options) {
     options.hedges = false;
@@ -494,6 +501,7 @@
     named_strategy{"full-peer-limit", make_system<full_peer_limit>},
     named_strategy{"without-relays", make_system<no_relays>},
     named_strategy{"one-home", make_system<one_home>},
+    named_strategy{"two-homes", make_system<two_homes>},
     named_strategy{"three-homes", make_system<three_homes>},
     named_strategy{"without-queue-place", make_system<no_queue_place>},
     named_strategy{"two-queue-places", make_system<two_queue_places>},
--- a/Libraries/Coordination/coordination/placement.cpp
+++ b/Libraries/Coordination/coordination/placement.cpp
@@ -99,8 +99,8 @@
     if (order.empty()) {
         return std::nullopt;
     }
-    auto const home_count = std::min(order.size(), static_cast<std::size_t>(pool.homes));
-    auto homes = std::vector(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(home_count));
+    auto const wanted = std::min(order.size(), static_cast<std::size_t>(home_count(pool)));
+    auto homes = std::vector(order.begin(), order.begin() + static_cast<std::ptrdiff_t>(wanted));
     std::ranges::shuffle(homes, random);
     auto const elsewhere = std::stable_partition(
         homes.begin(), homes.end(), [&](auto const& entry) { return entry.zone == caller_zone; });
--- a/Libraries/Entry/entry/fleet_state.cpp
+++ b/Libraries/Entry/entry/fleet_state.cpp
@@ -69,7 +69,7 @@
 }
 
 void set_homes(pool_runtime& runtime, pool_row const& row, fleet_state const& state) {
-    auto homes = home_instances(row.name, static_cast<std::size_t>(row.homes), state.members);
+    auto homes = home_instances(row.name, static_cast<std::size_t>(home_count(row)), state.members);
     auto const own = std::ranges::find(homes, state.self.id, &instance_entry::id);
     runtime.is_home = own != homes.end();
     target_pool::home_rank const rank{.rank = static_cast<std::uint32_t>(own - homes.begin()),
--- a/Libraries/State/state/tables.cpp
+++ b/Libraries/State/state/tables.cpp
@@ -60,7 +60,7 @@
         check_integer(row, "slots_per_target", pool.slots_per_target, 1, table_limits::max_slots);
         check_integer(row, "connections_per_target", pool.connections_per_target, 1,
                       table_limits::max_connections);
-        check_integer(row, "homes", pool.homes, 1, table_limits::max_homes);
+        check_integer(row, "homes", pool.homes, 0, table_limits::max_homes);
         std::set<endpoint> addresses;
         for (auto const& target : pool.targets) {
             check_target(row, target, addresses);
@@ -149,6 +149,14 @@
     return found == pools.end() ? nullptr : &*found;
 }
 
+std::int64_t home_count(pool_row const& pool) noexcept {
+    if (pool.homes > 0) {
+        return pool.homes;
+    }
+    auto const slots = pool.slots_per_target * static_cast<std::int64_t>(pool.targets.size());
+    return slots <= table_limits::single_home_slots ? 1 : 2;
+}
+
 std::vector<field_problem> check_tables(tables const& value) {
     return checker(value).run();
 }
--- a/Libraries/State/state/tables.hpp
+++ b/Libraries/State/state/tables.hpp
@@ -26,6 +26,12 @@
     bool operator==(route_row const&) const = default;
 };
 
+struct pool_row;
+
+/// How many homes a pool has: as many as its row says, else one up to `single_home_slots` slots, else two.
+/// One home knows every request in flight; a larger pool needs more than one instance to carry it.
+[[nodiscard]] std::int64_t home_count(pool_row const& pool) noexcept;
+
 /// One member of a pool.
 struct target_row {
     endpoint address;
@@ -40,7 +46,7 @@
     std::string name;
     std::int64_t slots_per_target = 1;
     std::int64_t connections_per_target = 100; ///< Of the whole fleet.
-    std::int64_t homes = 2;                    ///< Instances that callers are sent to for this pool.
+    std::int64_t homes = 0; ///< Instances that callers are sent to for this pool; 0 lets its size decide.
     std::vector<target_row> targets;
 
     bool operator==(pool_row const&) const = default;
@@ -62,6 +68,7 @@
     static constexpr std::int64_t max_slots = 4096;
     static constexpr std::int64_t max_connections = 65536;
     static constexpr std::int64_t max_homes = 64;
+    static constexpr std::int64_t single_home_slots = 16;
     static constexpr std::int64_t max_deadline_ms = 600000;
     static constexpr std::int64_t max_customer_concurrency = 100000;
     static constexpr std::size_t max_name_characters = 64;
--- a/Meta/fleet.py
+++ b/Meta/fleet.py
@@ -193,7 +193,7 @@
             "hedge": hedge, "customer_concurrency": customer_concurrency,
         })
 
-    def write_tables(self, homes=2):
+    def write_tables(self, homes=0):
         routes = "".join(
             "[[route]]\n" + "".join(f"{field} = {json.dumps(value)}\n" for field, value in route.items()) + "\n"
             for route in self.routes
@@ -217,7 +217,7 @@
             raise RuntimeError(f"pomelospreadctl {arguments} ended with {done.returncode}: {done.stderr}")
         return done
 
-    def apply(self, homes=2, wait=True):
+    def apply(self, homes=0, wait=True):
         self.write_tables(homes)
         return self.control("apply", "--output=json", "--wait=true" if wait else "--wait=false")
 
