--- a/Meta/bench_policy.py
+++ b/Meta/bench_policy.py
@@ -5,10 +5,11 @@
 import fleet as fleets
 from figures import FOLDER, write_bars
 
-STRAGGLER_CASES = ["stragglers", "load-steps", "fast-failing", "cold-start", "drain", "uneven-callers", "home-lost",
-                   "third-ignores-homes"]
+CASES = ["quiet", "stragglers", "load-steps", "fast-failing", "cold-start", "drain", "uneven-callers", "home-lost",
+         "third-ignores-homes"]
 POOLS = ["badge-register", "fees-ledger", "pitch-marshal", "notice-board", "slide-relay", "classroom-control"]
-SHOWN = ["random", "two-choices", "omniscient-queue", "system-without-hedges", "system"]
+COMPARED = ["two-choices", "omniscient-queue", "system-without-hedges", "system"]
+SHOWN = ["random", *COMPARED]
 
 
 def run(seeds, seconds, loads, **lists):
@@ -20,37 +21,47 @@
     return sorted(rows, key=lambda row: (row["pool"], row["scenario"], row["load"], row["strategy"]))
 
 
-def policy(figures, quick):
-    seeds, seconds = (5, 10) if quick else (20, 20)
-    rows = run(seeds, seconds, "0.75", strategies=SHOWN + ["least-own", "round-robin"])
-    if not quick:
-        rows += run(5, 10, "0.5,0.85,0.9,0.95", strategies=SHOWN, scenarios=["stragglers"])
-        rows += run(5, 20, "0.75", scenarios=["stragglers", "fast-failing", "cold-start", "third-ignores-homes"],
-                    pools=["badge-register", "notice-board", "classroom-control"])
-    by_case = {(row["pool"], row["scenario"], row["load"], row["strategy"]): row for row in reversed(rows)}
+def first_by_case(rows):
+    """The row of each pool, scenario, load and strategy; the first run of it counts."""
+    return {(row["pool"], row["scenario"], row["load"], row["strategy"]): row for row in reversed(rows)}
+
+
+def bounded_figures(figures, rows):
+    """Adds the figures that have a stated target, at load 0.75."""
+    by_case = first_by_case(rows)
 
-    def p99(pool, scenario, strategy, load=0.75):
-        return by_case[pool, scenario, load, strategy]["p99_ms"]["mean"]
+    def p99(pool, scenario, strategy):
+        return by_case[pool, scenario, 0.75, strategy]["p99_ms"]["mean"]
 
     for pool in POOLS:
-        for scenario in ["quiet", *STRAGGLER_CASES]:
+        for scenario in CASES:
             limit = p99(pool, scenario, "omniscient-queue")
             mean = p99(pool, scenario, "system-without-hedges")
-            hedged = p99(pool, scenario, "system")
             usual = p99(pool, scenario, "two-choices")
             name = f"policy.{pool}.{scenario}"
             figures.add(f"{name}.p99_to_omniscient", mean / limit, "ratio", "<=", 1.10)
-            figures.add(f"{name}.p99_hedged_to_omniscient", hedged / limit, "ratio", "<", 1.0)
+            figures.add(f"{name}.p99_hedged_to_omniscient", p99(pool, scenario, "system") / limit, "ratio", "<", 1.0)
             if scenario != "quiet":
                 figures.add(f"{name}.excess_to_two_choices", (mean - limit) / (usual - limit), "ratio", "<=", 0.25)
     figures.add("policy.hedge_share_max", max(row["hedge_share"] for row in rows if row["strategy"] == "system"),
                 "ratio", "<=", 0.02)
     figures.add("policy.retry_share_max", max(row["retry_share"] for row in rows), "ratio", "<=", 0.10)
+
+
+def policy(figures, quick):
+    seeds, seconds = (5, 10) if quick else (20, 20)
+    rows = run(seeds, seconds, "0.75", strategies=SHOWN + ["least-own", "round-robin"])
+    if not quick:
+        rows += run(5, 10, "0.5,0.85,0.9,0.95", strategies=SHOWN, scenarios=["stragglers"])
+        rows += run(5, 20, "0.75", scenarios=["stragglers", "fast-failing", "cold-start", "third-ignores-homes"],
+                    pools=["badge-register", "notice-board", "classroom-control"])
+    bounded_figures(figures, rows)
+    by_case = first_by_case(rows)
     FOLDER.mkdir(parents=True, exist_ok=True)
     (FOLDER / "policy-rows.json").write_text("[\n" + ",\n".join(json.dumps(row) for row in rows) + "\n]\n")
-    for pool in ("badge-register", "notice-board"):
-        write_bars(f"policy-{pool}", f"{pool}: p99 at load 0.75", ["quiet", *STRAGGLER_CASES],
-                   {strategy: [p99(pool, scenario, strategy) for scenario in ["quiet", *STRAGGLER_CASES]]
+    for pool in ("badge-register", "notice-board", "classroom-control"):
+        write_bars(f"policy-{pool}", f"{pool}: p99 at load 0.75", CASES,
+                   {strategy: [by_case[pool, scenario, 0.75, strategy]["p99_ms"]["mean"] for scenario in CASES]
                     for strategy in SHOWN}, "ms")
 
 
