Targets: Keep the agreed number of idle connections

Change: each thread of each instance keeps an even share of the agreed number, one at least. The number of open connections itself is not counted by a test.

--- a/Libraries/Entry/entry/pool_dispatcher.cpp
+++ b/Libraries/Entry/entry/pool_dispatcher.cpp
@@ -8,6 +8,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace pomelospread {
@@ -145,12 +146,20 @@
         .write();
 }
 
+std::size_t pool_dispatcher::idle_connections(request_context const& context) const {
+    // The fleet's connections to a target are shared out evenly, and each thread keeps one at least.
+    auto const agreed = static_cast<std::size_t>(context.pool->targets->row().connections_per_target);
+    auto const sharers = std::max<std::size_t>(1, context.fleet->members.size()) * m_shared.settings.threads;
+    return std::clamp<std::size_t>(agreed / sharers, 1, m_shared.settings.connections_per_target);
+}
+
 try_outcome pool_dispatcher::run_try(request_context& context, target_ticket const& ticket,
                                      http_request const& request, bool idempotent,
                                      target_exchange::cancel_handle& handle) {
     m_shared.load_changes.fetch_add(1, std::memory_order_relaxed);
     auto const& address = context.pool->targets->row().targets[ticket.target].address;
-    auto outcome = m_exchange.try_once(address, request, idempotent, context.deadline, handle);
+    auto outcome = m_exchange.try_once(address, request, idempotent, context.deadline,
+                                       idle_connections(context), handle);
     release(context, ticket, classify(outcome, handle.cancelled));
     if (outcome.result == try_result::answered) {
         m_shared.counters.target_latency.observe(steady_now() - ticket.started);
--- a/Libraries/Entry/entry/pool_dispatcher.hpp
+++ b/Libraries/Entry/entry/pool_dispatcher.hpp
@@ -30,6 +30,8 @@
     try_outcome run_hedged(request_context& context, target_ticket const& first, http_request const& request);
     void start_hedge(std::shared_ptr<hedge_state> const& state, request_context const& context,
                      target_ticket const& first, http_request const& request);
+    /// How many idle connections to one target this thread may keep.
+    [[nodiscard]] std::size_t idle_connections(request_context const& context) const;
     void log_choice(request_context const& context, target_ticket const& ticket,
                     std::string_view purpose) const;
     void release(request_context const& context, target_ticket const& ticket, exchange_result result);
--- a/Libraries/Entry/entry/target_exchange.cpp
+++ b/Libraries/Entry/entry/target_exchange.cpp
@@ -26,7 +26,7 @@
 }
 
 try_outcome target_exchange::try_once(endpoint const& target, http_request const& request, bool idempotent,
-                                      steady_time deadline, cancel_handle& handle) {
+                                      steady_time deadline, std::size_t max_idle, cancel_handle& handle) {
     m_metrics.add(counter::target_exchanges);
     auto connection = m_connections.take_idle(target);
     bool const fresh = connection == nullptr;
@@ -44,7 +44,7 @@
         }
     }
     if (handle.cancelled) {
-        m_connections.give_back(target, std::move(connection));
+        m_connections.give_back(target, std::move(connection), max_idle);
         return {.result = try_result::not_started, .failure = try_failure::cancelled, .detail = "cancelled"};
     }
     handle.connection = connection.get();
@@ -70,7 +70,7 @@
         m_connections.drop(target);
         return outcome;
     }
-    m_connections.give_back(target, std::move(connection));
+    m_connections.give_back(target, std::move(connection), max_idle);
     return outcome;
 }
 
--- a/Libraries/Entry/entry/target_exchange.hpp
+++ b/Libraries/Entry/entry/target_exchange.hpp
@@ -59,9 +59,10 @@
         void cancel();
     };
 
-    /// Tries once, never twice: a request that may have started is not sent again.
+    /// Tries once, never twice: a request that may have started is not sent again. At most `max_idle`
+    /// connections to the target are kept open afterwards.
     try_outcome try_once(endpoint const& target, http_request const& request, bool idempotent,
-                         steady_time deadline, cancel_handle& handle);
+                         steady_time deadline, std::size_t max_idle, cancel_handle& handle);
 
 private:
     /// Whether the answer is this request's, as far as the target tells whose its answers are.
--- a/Libraries/Protocol/protocol/http_connection.cpp
+++ b/Libraries/Protocol/protocol/http_connection.cpp
@@ -142,13 +142,14 @@
     return std::make_unique<http_connection>(m_io, remote, deadline);
 }
 
-void connection_cache::give_back(endpoint const& remote, std::unique_ptr<http_connection> connection) {
+void connection_cache::give_back(endpoint const& remote, std::unique_ptr<http_connection> connection,
+                                 std::size_t max_idle) {
     if (!connection->is_reusable()) {
         return;
     }
     auto& idle = m_idle[remote];
     idle.push_back(std::move(connection));
-    if (idle.size() > m_max_idle) {
+    while (idle.size() > max_idle) {
         idle.pop_front();
     }
 }
--- a/Libraries/Protocol/protocol/http_connection.hpp
+++ b/Libraries/Protocol/protocol/http_connection.hpp
@@ -12,6 +12,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <utility>
 
 namespace pomelospread {
 
@@ -68,8 +69,11 @@
     [[nodiscard]] std::unique_ptr<http_connection> take_idle(endpoint const& remote);
     /// A new connection. Throws as the constructor of `http_connection`.
     [[nodiscard]] std::unique_ptr<http_connection> open(endpoint const& remote, steady_time deadline);
-    /// Takes a connection back when it may be used again.
-    void give_back(endpoint const& remote, std::unique_ptr<http_connection> connection);
+    /// Takes a connection back when it may be used again; the oldest idle ones beyond `max_idle` are closed.
+    void give_back(endpoint const& remote, std::unique_ptr<http_connection> connection, std::size_t max_idle);
+    void give_back(endpoint const& remote, std::unique_ptr<http_connection> connection) {
+        give_back(remote, std::move(connection), m_max_idle);
+    }
     /// Closes every idle connection of an address, after one of them was found dead.
     void drop(endpoint const& remote);
 
--- a/Libraries/State/state/tables.hpp
+++ b/Libraries/State/state/tables.hpp
@@ -45,7 +45,7 @@
 struct pool_row {
     std::string name;
     std::int64_t slots_per_target = 1;
-    std::int64_t connections_per_target = 100; ///< Of the whole fleet.
+    std::int64_t connections_per_target = 100; ///< Idle ones of the whole fleet, shared out evenly.
     std::int64_t homes = 0; ///< Instances that callers are sent to for this pool; 0 lets its size decide.
     std::vector<target_row> targets;
 
--- a/Meta/figures.py
+++ b/Meta/figures.py
@@ -48,8 +48,8 @@
                      f'<text x="{left - 6}" y="{y + 4:.1f}" text-anchor="end">{value:.0f} {unit}</text>')
     for number, (label, values) in enumerate(series.items()):
         colour = colours[number % len(colours)]
-        parts.append(f'<rect x="{left + 150 * number}" y="30" width="12" height="12" fill="{colour}"/>'
-                     f'<text x="{left + 16 + 150 * number}" y="41">{label}</text>')
+        parts.append(f'<rect x="{left + 180 * number}" y="30" width="12" height="12" fill="{colour}"/>'
+                     f'<text x="{left + 16 + 180 * number}" y="41">{label}</text>')
         for group, value in enumerate(values):
             x = left + slot * group + slot * 0.1 + bar * number
             tall = plot * min(value, highest) / highest
