--- a/Meta/bench_fleet.py
+++ b/Meta/bench_fleet.py
@@ -103,20 +103,21 @@
 
         def kill():
             time.sleep(1)
-            fleet.instances[-1].process.kill()
+            fleet.deciding_pair("/renewals/7")["primary"].process.kill()
 
         def pause():
             time.sleep(1)
-            fleet.instances[0].process.signal(signal.SIGSTOP)
+            paused = fleet.deciding_pair("/renewals/7")["primary"].process
+            paused.signal(signal.SIGSTOP)
             time.sleep(1)
-            fleet.instances[0].process.signal(signal.SIGCONT)
+            paused.signal(signal.SIGCONT)
 
         def outage():
             fleet.faults(outage=True)
 
         under("store-outage", outage)
-        under("paused-instance", pause)
-        under("killed-instance", kill)
+        under("paused-primary", pause)
+        under("killed-primary", kill)
         fleet.faults()
         twice = [key for key, times in fleet.executions().items() if key.startswith("k1-") and times > 1]
         figures.add("claims.ran_twice", len(twice), "requests", "==", 0)
--- a/Meta/fleet.py
+++ b/Meta/fleet.py
@@ -232,6 +232,14 @@
 
         wait_until(all_known, limit, what="every instance knowing the others")
 
+    def deciding_pair(self, path):
+        """The instances that decide on callers' non-idempotent requests to a path now, by role."""
+        live = [one for one in self.instances if one.process.child.poll() is None]
+        asked = json.loads(get(live[0].caller, f"/.pomelospread/addresses?path={path}&method=POST")[2])
+        _, primary, witness, _ = asked["key_prefix"].split("-")
+        by_id = {one.status()["id"]: one for one in live}
+        return {"primary": by_id[primary], "witness": by_id[witness]}
+
     def caller(self, name="caller", ask=None, **settings):
         """Starts the caller stand-in; its summary is read with `summary`."""
         addresses = ask or [one.caller for one in self.instances]
--- a/Tests/Processes/test_claims_under_faults.py
+++ b/Tests/Processes/test_claims_under_faults.py
@@ -42,18 +42,10 @@
         self.assertEqual(seen["foreign"], 0)
         return seen, told
 
-    def pair(self):
-        """The instances that decide on the callers' payments now, by role."""
-        asked = json.loads(fleets.get(
-            self.fleet.instances[0].caller, "/.pomelospread/addresses?path=/renewals/7&method=POST")[2])
-        _, primary, witness, _ = asked["key_prefix"].split("-")
-        by_id = {one.status()["id"]: one for one in self.fleet.instances}
-        return {"primary": by_id[primary], "witness": by_id[witness]}
-
     def kill_one(self, role):
         def faults():
             time.sleep(1.5)
-            self.pair()[role].process.kill()
+            self.fleet.deciding_pair("/renewals/7")[role].process.kill()
 
         seen, _ = self.pay_during(faults)
         # A request that was on its way at the kill may be unknown for good; everything else is paid.
@@ -68,7 +60,7 @@
     def test_paused_instance_that_wakes(self):
         def faults():
             time.sleep(1.5)
-            paused = self.pair()["primary"].process
+            paused = self.fleet.deciding_pair("/renewals/7")["primary"].process
             paused.signal(signal.SIGSTOP)
             time.sleep(3)
             paused.signal(signal.SIGCONT)
@@ -79,7 +71,7 @@
         def faults():
             self.fleet.faults(outage=True)
             time.sleep(1.5)
-            self.pair()["witness"].process.kill()
+            self.fleet.deciding_pair("/renewals/7")["witness"].process.kill()
 
         seen, _ = self.pay_during(faults)
         self.assertLessEqual(seen["failed"], 32)
@@ -87,7 +79,7 @@
     def test_planned_stop_fails_nothing(self):
         def faults():
             time.sleep(1)
-            self.assertEqual(self.fleet.stop_instance(self.pair()["primary"]), 0)
+            self.assertEqual(self.fleet.stop_instance(self.fleet.deciding_pair("/renewals/7")["primary"]), 0)
 
         seen, told = self.pay_during(faults)
         self.assertEqual(seen["failed"], 0)
