Request path: Check a key's age at admission, so that a refusal leaves nothing behind

Cause, found on reading the whole change: a key from the future was refused by an exception after the request had entered its customer's limit, so neither that count nor the requests in progress went down again. A caller could use up a customer's limit with such keys. Change: the key's age is checked where its form is, before admission; a guard leaves the limit at the end of a request, also by an exception. Also, with no change of behaviour: running work in a fiber and waiting for it stands once (io_thread::run_and_wait) in place of two copies; three reasons of a choice that no code gave and an accessor without a caller are gone.

--- a/Libraries/Coordination/coordination/target_pool.cpp
+++ b/Libraries/Coordination/coordination/target_pool.cpp
@@ -22,14 +22,8 @@
     switch (reason) {
     case choice_reason::least_in_flight:
         return "least_in_flight";
-    case choice_reason::own_share:
-        return "own_share";
-    case choice_reason::same_zone:
-        return "same_zone";
     case choice_reason::random_tie:
         return "random_tie";
-    case choice_reason::only_overdue:
-        return "only_overdue";
     }
     return "least_in_flight";
 }
--- a/Libraries/Coordination/coordination/target_pool.hpp
+++ b/Libraries/Coordination/coordination/target_pool.hpp
@@ -53,7 +53,7 @@
 };
 
 /// Why a target was chosen, for the log line.
-enum class choice_reason : std::uint8_t { least_in_flight, own_share, same_zone, random_tie, only_overdue };
+enum class choice_reason : std::uint8_t { least_in_flight, random_tie };
 
 [[nodiscard]] std::string_view to_string(choice_reason reason) noexcept;
 
@@ -122,7 +122,6 @@
     [[nodiscard]] std::size_t size() const noexcept { return m_targets.size(); }
     [[nodiscard]] std::uint32_t in_flight(std::uint32_t target) const noexcept;
     [[nodiscard]] pool_row const& row() const noexcept { return m_row; }
-    [[nodiscard]] std::span<std::uint8_t const> is_in_own_zone() const noexcept { return m_own_zone; }
 
 private:
     static constexpr std::int64_t free_place = 0;
--- a/Libraries/Entry/entry/claim_service.cpp
+++ b/Libraries/Entry/entry/claim_service.cpp
@@ -14,7 +14,6 @@
 namespace {
 
 constexpr auto outcome_poll = std::chrono::milliseconds(2);
-constexpr key_epoch tolerated_future_epochs = 2;
 
 key_epoch current_epoch() {
     return epoch_at(std::chrono::system_clock::now());
@@ -73,11 +72,6 @@
 
 request_result claim_service::serve(request_context& context, http_request const& request) {
     auto const prefix = parse_key(context.key);
-    if (prefix.epoch > current_epoch() + tolerated_future_epochs) {
-        throw invalid_input({{.field = "Idempotency-Key",
-                              .problem = "its prefix lies in the future",
-                              .allowed = "a prefix of an address answer"}});
-    }
     if (prefix.primary == m_shared.self.id) {
         return serve_as_primary(context, prefix, request);
     }
--- a/Libraries/Entry/entry/claim_service.hpp
+++ b/Libraries/Entry/entry/claim_service.hpp
@@ -14,8 +14,7 @@
 public:
     claim_service(shared_parts& shared, peer_links& links, relay_client& relays, pool_dispatcher& dispatcher);
 
-    /// Serves a request whose key is minted; `context.key` is set.
-    /// Throws `invalid_input` naming `Idempotency-Key` when the key lies in the future.
+    /// Serves a request whose key is minted and was checked at admission; `context.key` is set.
     request_result serve(request_context& context, http_request const& request);
 
     /// Refuses a request before it was served, so that no copy of it can run under its key any more.
--- a/Libraries/Entry/entry/instance.cpp
+++ b/Libraries/Entry/entry/instance.cpp
@@ -10,7 +10,6 @@
 #include <boost/fiber/operations.hpp>
 
 #include <csignal>
-#include <future>
 
 namespace pomelospread {
 
@@ -30,17 +29,6 @@
             .leaving = false};
 }
 
-/// Runs `work` in a fiber of `thread` and waits for its end.
-template<class Work>
-void run_on(io_thread& thread, Work work) {
-    std::promise<void> done;
-    thread.spawn([&] {
-        work();
-        done.set_value();
-    });
-    done.get_future().wait();
-}
-
 } // namespace
 
 instance::instance(instance_settings settings) {
@@ -132,28 +120,28 @@
 
 void instance::stop() {
     log_line(log_level::info, "stop_begun").write();
-    run_on(*m_control_thread, [&] { m_control->announce_leaving(); });
+    m_control_thread->run_and_wait([&] { m_control->announce_leaving(); });
     for (auto& each : m_workers) {
         each.server->begin_drain();
     }
     // Callers may use an older address answer until it ends, so this instance keeps serving.
     std::this_thread::sleep_for(m_shared->settings.drain);
     for (auto& each : m_workers) {
-        run_on(*each.thread, [&] { each.server->stop_listening(); });
+        each.thread->run_and_wait([&] { each.server->stop_listening(); });
     }
     wait_for_requests();
     bool stored = false;
     auto const flush_by = std::chrono::steady_clock::now() + final_flush_limit;
     while (!stored && std::chrono::steady_clock::now() < flush_by) {
-        run_on(*m_control_thread, [&] { stored = m_control->finish(); });
+        m_control_thread->run_and_wait([&] { stored = m_control->finish(); });
         if (!stored) {
             std::this_thread::sleep_for(final_flush_pause);
         }
     }
     for (auto& each : m_workers) {
-        run_on(*each.thread, [&] { each.handler->links().close_all(); });
+        each.thread->run_and_wait([&] { each.handler->links().close_all(); });
     }
-    run_on(*m_control_thread, [&] {
+    m_control_thread->run_and_wait([&] {
         m_admin_server->stop_listening();
         m_peer_server->stop();
         m_control->stop();
@@ -168,7 +156,7 @@
         while ((each.server->open_connections() > 0 || !flushed) &&
                std::chrono::steady_clock::now() < limit) {
             std::this_thread::sleep_for(stop_poll);
-            run_on(*each.thread, [&] { flushed = each.handler->links().are_flushed(); });
+            each.thread->run_and_wait([&] { flushed = each.handler->links().are_flushed(); });
         }
     }
 }
--- a/Libraries/Entry/entry/request_handler.cpp
+++ b/Libraries/Entry/entry/request_handler.cpp
@@ -19,6 +19,8 @@
 constexpr std::string_view addresses_path = "/.pomelospread/addresses";
 constexpr std::string_view unnamed_customer = "unnamed";
 constexpr std::size_t max_customer_characters = 128;
+/// Clocks of instances may differ by this many epochs.
+constexpr key_epoch tolerated_future_epochs = 2;
 constexpr auto replication_timeout = std::chrono::milliseconds(200);
 
 std::string_view standard(boost::beast::string_view text) {
@@ -80,6 +82,25 @@
     return std::string(customer);
 }
 
+/// Counts an entered request as in progress and leaves its customer's limit at the end, also by an exception.
+class progress_guard {
+public:
+    progress_guard(shared_parts& shared, std::string const& limit_key)
+        : m_shared(shared), m_limit_key(limit_key) {
+        m_shared.in_progress.fetch_add(1);
+    }
+    ~progress_guard() {
+        m_shared.in_progress.fetch_sub(1);
+        m_shared.customers.leave(m_limit_key);
+    }
+    progress_guard(progress_guard const&) = delete;
+    progress_guard& operator=(progress_guard const&) = delete;
+
+private:
+    shared_parts& m_shared;
+    std::string const& m_limit_key;
+};
+
 } // namespace
 
 request_handler::request_handler(io_thread& thread, shared_parts& shared)
@@ -205,11 +226,8 @@
         }
         return result;
     }
-    m_shared.in_progress.fetch_add(1);
-    auto result = serve(context, request);
-    m_shared.in_progress.fetch_sub(1);
-    m_shared.customers.leave(limit_key);
-    return result;
+    progress_guard const guard(m_shared, limit_key);
+    return serve(context, request);
 }
 
 std::optional<request_result> request_handler::relay_to_home(request_context& context,
@@ -276,7 +294,11 @@
               .allowed = "the key_prefix of an address answer, '-', and characters of your own; "
                          "or no key for a request that will not be retried"}});
     }
-    static_cast<void>(parse_key(given));
+    if (parse_key(given).epoch > epoch_at(std::chrono::system_clock::now()) + tolerated_future_epochs) {
+        throw invalid_input({{.field = std::string(header::idempotency_key),
+                              .problem = "its prefix lies in the future",
+                              .allowed = "a prefix of an address answer"}});
+    }
     return given;
 }
 
--- a/Libraries/Transport/transport/io_thread.cpp
+++ b/Libraries/Transport/transport/io_thread.cpp
@@ -7,6 +7,7 @@
 #include <pthread.h>
 #include <urcu/urcu-memb.h>
 
+#include <future>
 #include <mutex>
 
 namespace pomelospread {
@@ -35,6 +36,15 @@
     boost::asio::post(m_io, [this, work = std::move(work)]() mutable { start_fiber(std::move(work)); });
 }
 
+void io_thread::run_and_wait(std::function<void()> const& work) {
+    std::promise<void> done;
+    spawn([&] {
+        work();
+        done.set_value();
+    });
+    done.get_future().wait();
+}
+
 void io_thread::start_fiber(std::function<void()> work) {
     boost::fibers::fiber(boost::fibers::launch::post, std::allocator_arg, pooled_stack{},
                          [this, work = std::move(work)] {
--- a/Libraries/Transport/transport/io_thread.hpp
+++ b/Libraries/Transport/transport/io_thread.hpp
@@ -34,6 +34,9 @@
     /// Starts a fiber on this thread. Thread-safe. An exception that leaves `work` ends the process.
     void spawn(std::function<void()> work);
 
+    /// Runs `work` in a fiber of this thread and waits for its end. Not from a fiber of this thread.
+    void run_and_wait(std::function<void()> const& work);
+
     /// Waits until every fiber has ended and joins the thread; the io_context stays, so that what its fibers
     /// used can be destroyed afterwards. Not from a fiber of this thread.
     void stop();
--- a/StandIns/caller/main.cpp
+++ b/StandIns/caller/main.cpp
@@ -13,6 +13,7 @@
 
 #include <algorithm>
 #include <fstream>
+#include <future>
 #include <map>
 #include <vector>
 
--- a/StandIns/stand_in_main.hpp
+++ b/StandIns/stand_in_main.hpp
@@ -8,7 +8,6 @@
 
 #include <csignal>
 #include <exception>
-#include <future>
 #include <iostream>
 #include <span>
 #include <string_view>
@@ -43,15 +42,4 @@
     signals.run();
 }
 
-/// Runs `work` in a fiber of `thread` and waits for its end.
-template<class Work>
-void run_in_fiber(io_thread& thread, Work work) {
-    std::promise<void> done;
-    thread.spawn([&] {
-        work();
-        done.set_value();
-    });
-    done.get_future().wait();
-}
-
 } // namespace pomelospread
--- a/StandIns/target/main.cpp
+++ b/StandIns/target/main.cpp
@@ -106,7 +106,7 @@
     server.start();
     std::cout << "listening " << to_string(server.local_address()) << std::endl;
     wait_for_stop();
-    run_in_fiber(thread, [&] { server.stop_listening(); });
+    thread.run_and_wait([&] { server.stop_listening(); });
     thread.stop();
     return 0;
 }
--- a/Tests/Processes/test_whole_path.py
+++ b/Tests/Processes/test_whole_path.py
@@ -54,6 +54,14 @@
             self.assertEqual((seen[0], seen[2]["field"]), (status, field))
             self.assertEqual(seen[1]["Pomelospread-Outcome"], "not-run")
 
+    def test_a_key_from_the_future_is_refused_and_leaves_nothing_in_progress(self):
+        instance = self.fleet.instances[0]
+        key = f"k1-{instance.status()['id']}-{'0' * 16}-ffffffff-mine"
+        for _ in range(3):
+            seen = self.ask("", {"Idempotency-Key": key}, "POST", "/renewals/1")
+            self.assertEqual((seen[0], seen[2]["field"]), (400, "Idempotency-Key"))
+        self.assertEqual(instance.status()["requests_in_progress"], 0)
+
     def test_operators_see_versions_differences_and_history(self):
         shown = json.loads(self.fleet.control("status", "--output=json").stdout)
         self.assertEqual({one["tables_version"] for one in shown}, {1})
