--- /dev/null
+++ b/Libraries/Coordination/coordination/read_schedule.hpp
@@ -0,0 +1,38 @@
+// Who reads the platform's list of targets: one instance reads and tells the rest, and each one that was told
+// nothing for long enough reads for itself. No agreement is needed, as with the suppression timers of
+// scalable reliable multicast (Floyd et al., SIGCOMM 1995).
+#pragma once
+
+#include "coordination/platform.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <span>
+
+namespace pomelospread {
+
+struct read_schedule_limits {
+    std::chrono::milliseconds period{800}; ///< Between the readings of the first in rank.
+    std::chrono::milliseconds step{60};    ///< Each rank waits this much longer before it reads itself.
+    std::uint32_t max_rank = 7;            ///< Later ranks wait no longer than this one.
+    std::chrono::milliseconds retry{700};  ///< After a failure of the first in rank; later ranks wait longer.
+};
+
+/// The instance's rank among the live ones, and when it reads. Pure.
+class read_schedule {
+public:
+    explicit read_schedule(read_schedule_limits limits = {}) : m_limits(limits) {}
+
+    /// The rank rotates with the identities only, so that every instance comes to the same order.
+    [[nodiscard]] static std::uint32_t rank_of(instance_id self, std::span<instance_id const> alive);
+
+    /// How old the list may become at this rank before the instance reads it.
+    [[nodiscard]] std::chrono::milliseconds allowed_age(std::uint32_t rank) const;
+    /// The pause before the next try after a failure at this rank.
+    [[nodiscard]] std::chrono::milliseconds pause_after_failure(std::uint32_t rank) const;
+
+private:
+    read_schedule_limits m_limits;
+};
+
+} // namespace pomelospread
--- /dev/null
+++ b/Libraries/Coordination/coordination/target_board.cpp
@@ -0,0 +1,208 @@
+#include "coordination/target_board.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pomelospread {
+
+namespace {
+
+/// Expected time of a request before any was measured.
+constexpr double unknown_work_ms = 100.0;
+constexpr double work_weight = 0.05;
+constexpr double mean_slowdown_weight = 0.02;
+/// Many targets slow down when they are nearly full.
+constexpr double full_factor = 0.7;
+constexpr double full_from = 0.7;
+
+double to_ms(std::chrono::nanoseconds value) {
+    return std::chrono::duration<double, std::milli>(value).count();
+}
+
+/// What is left of a weight of one after `age`.
+double decayed(std::chrono::nanoseconds age, std::chrono::milliseconds half_life) {
+    return age.count() <= 0 ? 1.0 : std::exp2(-to_ms(age) / static_cast<double>(half_life.count()));
+}
+
+} // namespace
+
+target_board::target_board(std::string own_zone, board_policy policy)
+    : m_own_zone(std::move(own_zone)), m_policy(policy) {}
+
+void target_board::set_targets(std::span<listed_target const> targets, time_point now) {
+    std::map<std::string, target_state, std::less<>> next;
+    for (auto& [name, pool] : m_pools) {
+        pool.members.clear();
+    }
+    for (auto const& listed : targets) {
+        target_state state{.listed = listed, .listed_at = now};
+        if (auto const known = m_targets.find(listed.id); known != m_targets.end()) {
+            auto const& before = known->second;
+            bool const same_life = before.listed.born_unix_ms == listed.born_unix_ms &&
+                                   before.listed.address == listed.address && before.listed.pool == listed.pool;
+            if (same_life) {
+                state = before;
+                state.listed = listed;
+                if (before.listed.warm_up_left_ms != listed.warm_up_left_ms) {
+                    state.listed_at = now;
+                }
+            }
+        }
+        m_pools[listed.pool].members.push_back(listed.id);
+        next.emplace(listed.id, std::move(state));
+    }
+    m_targets = std::move(next);
+}
+
+double target_board::failure_rate(target_state const& state, time_point now) const {
+    return state.failure_rate * decayed(now - state.failure_at, m_policy.failure_half_life);
+}
+
+target_choice target_board::assess(target_state const& state, pool_state const& pool, time_point now) const {
+    auto const usual = pool.work_ms > 0 ? pool.work_ms : unknown_work_ms;
+    double slowdown = pool.mean_slowdown;
+    double others = 0;
+    target_choice choice{.id = state.listed.id, .address = state.listed.address, .in_flight = state.in_flight};
+    if (state.reported_at) {
+        auto const age = now - *state.reported_at;
+        auto const weight = decayed(age, m_policy.slowdown_half_life);
+        slowdown = weight * state.slowdown + (1.0 - weight) * pool.mean_slowdown;
+        others = state.others * decayed(age, m_policy.count_half_life);
+        choice.report_age_ms = std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
+    }
+    auto const slots = static_cast<double>(std::max<std::int64_t>(1, state.listed.slots));
+    auto const load = state.in_flight + others + 1.0;
+    double work = usual * slowdown;
+    auto const fill = std::min(1.0, load / slots);
+    if (fill > full_from) {
+        work *= 1.0 + full_factor * (fill - full_from) / (1.0 - full_from);
+    }
+    auto const warm_in = state.listed_at + std::chrono::milliseconds(state.listed.warm_up_left_ms);
+    if (warm_in > now) {
+        work *= m_policy.cold_factor;
+    }
+    auto const wait = std::max(0.0, load - slots) / slots * usual * pool.mean_slowdown;
+    auto const failing = failure_rate(state, now);
+    choice.expected_ms = work + wait + failing * m_policy.failure_cost * usual;
+    if (state.listed.zone != m_own_zone) {
+        choice.expected_ms += to_ms(m_policy.foreign_zone_cost);
+    }
+    choice.slowdown = slowdown;
+    choice.others = others;
+    choice.failure_rate = failing;
+    return choice;
+}
+
+std::optional<target_choice> target_board::choose(std::string_view pool,
+                                                  std::span<std::string const> excluded, time_point now,
+                                                  random_source& random) const {
+    auto const found = m_pools.find(pool);
+    if (found == m_pools.end()) {
+        return std::nullopt;
+    }
+    std::vector<target_choice> choices;
+    double least = 0;
+    for (auto const& id : found->second.members) {
+        auto const& state = m_targets.find(id)->second;
+        if (state.retired || state.listed.leaving || std::ranges::find(excluded, id) != excluded.end()) {
+            continue;
+        }
+        choices.push_back(assess(state, found->second, now));
+        if (choices.size() == 1 || choices.back().expected_ms < least) {
+            least = choices.back().expected_ms;
+        }
+    }
+    if (choices.empty()) {
+        return std::nullopt;
+    }
+    auto const candidates = choices.size();
+    std::erase_if(choices,
+                  [&](auto const& each) { return each.expected_ms > least * (1.0 + m_policy.tie_share); });
+    auto chosen = choices[random() % choices.size()];
+    chosen.candidates = candidates;
+    return chosen;
+}
+
+void target_board::start(std::string const& id) {
+    if (auto const found = m_targets.find(id); found != m_targets.end()) {
+        ++found->second.in_flight;
+    }
+}
+
+void target_board::finish(std::string const& id, board_outcome outcome, std::chrono::nanoseconds latency,
+                          time_point now) {
+    auto const found = m_targets.find(id);
+    if (found == m_targets.end()) {
+        return;
+    }
+    auto& state = found->second;
+    state.in_flight -= std::min(state.in_flight, 1U);
+    auto& pool = m_pools[state.listed.pool];
+    double failure = 0;
+    switch (outcome) {
+    case board_outcome::answered: {
+        auto const normal = to_ms(latency) / std::max(1.0, pool.mean_slowdown);
+        pool.work_ms = pool.work_ms == 0 ? normal : pool.work_ms + work_weight * (normal - pool.work_ms);
+        break;
+    }
+    case board_outcome::failed:
+    case board_outcome::timed_out:
+        failure = 1.0;
+        break;
+    case board_outcome::refused:
+        failure = 0.5;
+        break;
+    case board_outcome::cancelled:
+        return;
+    }
+    auto const before = failure_rate(state, now);
+    state.failure_rate = before + m_policy.failure_weight * (failure - before);
+    state.failure_at = now;
+}
+
+void target_board::report(std::string const& id, load_report const& value, time_point received) {
+    auto const found = m_targets.find(id);
+    if (found == m_targets.end()) {
+        return;
+    }
+    auto& state = found->second;
+    if (state.reported_at && *state.reported_at > received) {
+        return;
+    }
+    state.reported_at = received;
+    state.slowdown = std::clamp(value.slowdown, 0.1, 100.0);
+    auto const told = static_cast<double>(value.running) + value.waiting;
+    state.others = std::max(0.0, told - state.in_flight);
+    auto& pool = m_pools[state.listed.pool];
+    pool.mean_slowdown += mean_slowdown_weight * (state.slowdown - pool.mean_slowdown);
+}
+
+void target_board::retire(std::string const& id) {
+    if (auto const found = m_targets.find(id); found != m_targets.end()) {
+        found->second.retired = true;
+    }
+}
+
+std::chrono::nanoseconds target_board::usual_work(std::string_view pool) const {
+    auto const found = m_pools.find(pool);
+    if (found == m_pools.end()) {
+        return {};
+    }
+    return std::chrono::nanoseconds(static_cast<std::int64_t>(found->second.work_ms * 1e6));
+}
+
+std::size_t target_board::usable(std::string_view pool) const {
+    auto const found = m_pools.find(pool);
+    if (found == m_pools.end()) {
+        return 0;
+    }
+    return static_cast<std::size_t>(
+        std::ranges::count_if(found->second.members, [&](auto const& id) { return is_usable(id); }));
+}
+
+bool target_board::is_usable(std::string const& id) const {
+    auto const found = m_targets.find(id);
+    return found != m_targets.end() && !found->second.retired && !found->second.listed.leaving;
+}
+
+} // namespace pomelospread
--- /dev/null
+++ b/Libraries/Coordination/coordination/target_board.hpp
@@ -0,0 +1,127 @@
+// Chooses among discovered targets by what is known of each right now: own requests in flight, load reports
+// and their age, recent failures.
+#pragma once
+
+#include "base/random.hpp"
+#include "coordination/target_list.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace pomelospread {
+
+/// What a target says of itself with an answer.
+struct load_report {
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 1;
+    double slowdown = 1.0; ///< How long work takes now, as a multiple of the usual.
+};
+
+struct board_policy {
+    /// A report's word on the present speed loses its weight at this rate: neighbours on a shared machine come
+    /// and go several times a second.
+    std::chrono::milliseconds slowdown_half_life{100};
+    /// Counts of other instances' requests age with the length of a request.
+    std::chrono::milliseconds count_half_life{200};
+    /// Failures are forgiven at this rate, so that a target that recovered is tried again.
+    std::chrono::milliseconds failure_half_life{3000};
+    /// Weight of the newest outcome in a target's failure rate.
+    double failure_weight = 0.3;
+    /// What a failed request costs, as a multiple of the expected time of one.
+    double failure_cost = 8.0;
+    /// A cold target takes this many times as long.
+    double cold_factor = 2.0;
+    /// Latency that an answer from another zone may cost more.
+    std::chrono::microseconds foreign_zone_cost{5000};
+    /// Targets whose expected times differ by less than this share are drawn from at random, so that instances
+    /// with the same knowledge do not all choose the same target.
+    double tie_share = 0.1;
+};
+
+/// How a try at a target ended, as far as the choice learns from it.
+enum class board_outcome : std::uint8_t {
+    answered,  ///< A whole answer below 500.
+    failed,    ///< A 5xx answer, a broken exchange or no connection.
+    refused,   ///< The target said that it did not run the request.
+    timed_out, ///< No answer when the request's time ended.
+    cancelled, ///< This side gave up.
+};
+
+/// Why a target was chosen, for the log line of the decision.
+struct target_choice {
+    std::string id;
+    endpoint address;
+    double expected_ms = 0;
+    double slowdown = 1.0;
+    std::int64_t report_age_ms = -1; ///< -1: no report.
+    std::uint32_t in_flight = 0;     ///< Of this instance.
+    double others = 0;               ///< Estimated requests of other instances.
+    double failure_rate = 0;
+    std::size_t candidates = 0;
+};
+
+/// The state of every known target at one instance. Not thread-safe; time and randomness are passed in.
+class target_board {
+public:
+    using time_point = std::chrono::steady_clock::time_point;
+
+    target_board(std::string own_zone, board_policy policy);
+
+    /// Puts a list in force. A target that stays keeps its state, one that is not listed is forgotten.
+    void set_targets(std::span<listed_target const> targets, time_point now);
+
+    /// The target of the pool with the least expected time, or nothing when no target may be used.
+    [[nodiscard]] std::optional<target_choice> choose(std::string_view pool,
+                                                      std::span<std::string const> excluded, time_point now,
+                                                      random_source& random) const;
+
+    void start(std::string const& id);
+    /// `latency` is looked at when the request was answered.
+    void finish(std::string const& id, board_outcome outcome, std::chrono::nanoseconds latency, time_point now);
+    /// A report in an answer to this instance, or told by another instance that received it at `received`.
+    void report(std::string const& id, load_report const& value, time_point received);
+    /// The target is not what the list says, or leaves: it gets nothing new until the list names it anew.
+    void retire(std::string const& id);
+
+    /// The usual time of a request of the pool at the usual speed; zero while nothing is known.
+    [[nodiscard]] std::chrono::nanoseconds usual_work(std::string_view pool) const;
+    /// Targets of the pool that may be given a request.
+    [[nodiscard]] std::size_t usable(std::string_view pool) const;
+    [[nodiscard]] bool is_usable(std::string const& id) const;
+
+private:
+    struct target_state {
+        listed_target listed;
+        time_point listed_at;
+        bool retired = false;
+        std::uint32_t in_flight = 0;
+        double others = 0; ///< Requests of other instances at `reported_at`.
+        double slowdown = 1.0;
+        std::optional<time_point> reported_at;
+        double failure_rate = 0;
+        time_point failure_at{};
+    };
+    struct pool_state {
+        std::vector<std::string> members;
+        double work_ms = 0;
+        double mean_slowdown = 1.5;
+    };
+
+    [[nodiscard]] target_choice assess(target_state const& state, pool_state const& pool, time_point now) const;
+    [[nodiscard]] double failure_rate(target_state const& state, time_point now) const;
+
+    std::string m_own_zone;
+    board_policy m_policy;
+    std::map<std::string, target_state, std::less<>> m_targets;
+    std::map<std::string, pool_state, std::less<>> m_pools;
+};
+
+} // namespace pomelospread
--- /dev/null
+++ b/Libraries/Gateway/gateway/caller_server.hpp
@@ -0,0 +1,74 @@
+// Serves callers: requests of one connection may overlap, answers keep their order, and a caller that leaves
+// is noticed while its requests are in progress.
+#pragma once
+
+#include "base/endpoint.hpp"
+#include "protocol/http_types.hpp"
+#include "state/tables.hpp"
+#include "transport/io_thread.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <functional>
+#include <memory>
+#include <set>
+
+namespace pomelospread {
+
+/// Tells a request's handler that its caller is gone. Belongs to the server's thread.
+class caller_watch {
+public:
+    [[nodiscard]] bool is_gone() const noexcept { return m_gone; }
+    /// Called once, from a handler of the thread's io_context; it must not suspend.
+    void set_listener(std::function<void()> listener) { m_listener = std::move(listener); }
+    void clear_listener() { m_listener = nullptr; }
+    void leave();
+
+private:
+    bool m_gone = false;
+    std::function<void()> m_listener;
+};
+
+/// What the server asks of its owner.
+struct caller_service {
+    /// Answers a request; may suspend. `received` is when its last byte was read.
+    std::function<http_response(http_request&, caller_watch&, steady_time received)> handle;
+    /// Whether the request may run while others of its connection do.
+    std::function<bool(http_request const&)> may_overlap;
+    /// The limits in force now.
+    std::function<caller_limits()> limits;
+};
+
+/// An HTTP/1.1 server on one thread: a fiber per connection and one per request in progress.
+class caller_server {
+public:
+    /// Listens. Throws `connect_failed` when the address cannot be bound.
+    caller_server(io_thread& thread, endpoint const& address, caller_service service);
+    ~caller_server();
+
+    void start();
+    /// From now on an answer after which nothing is pending says `Connection: close`.
+    void begin_drain() noexcept { m_draining = true; }
+    /// Accepts what waits in the kernel's queue, stops listening and closes idle connections. Requests in
+    /// progress are answered. Call from a fiber of the server's thread.
+    void stop_listening();
+
+    [[nodiscard]] std::size_t open_connections() const noexcept { return m_connections.size(); }
+    [[nodiscard]] std::size_t requests_in_progress() const noexcept { return m_in_progress; }
+
+private:
+    class connection;
+
+    void accept_loop();
+    void start_connection(boost::asio::ip::tcp::socket socket);
+
+    io_thread& m_thread;
+    caller_service m_service;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    std::set<std::shared_ptr<connection>> m_connections;
+    std::size_t m_in_progress = 0;
+    bool m_draining = false;
+    bool m_stopped = false;
+};
+
+} // namespace pomelospread
--- /dev/null
+++ b/Libraries/Gateway/gateway/fleet_messages.hpp
@@ -0,0 +1,60 @@
+// What forwarding instances tell each other, encoded with cereal.
+#pragma once
+
+#include "coordination/membership.hpp"
+#include "coordination/target_board.hpp"
+#include "coordination/target_list.hpp"
+#include "state/tables.hpp"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace pomelospread {
+
+/// The target list that the sender believes in, and how it differs from the one before.
+struct list_note {
+    std::uint64_t version = 0; ///< 0: the sender knows no list.
+    std::uint64_t digest = 0;
+    std::uint32_t age_ms = 0;       ///< Since the platform was read.
+    std::uint64_t base_digest = 0;  ///< What `changed` and `removed` apply to; 0: they are not sent.
+    std::vector<listed_target> changed;
+    std::vector<std::string> removed;
+};
+
+/// What a target said of itself in an answer to the sender.
+struct load_news {
+    std::uint32_t target_hash = 0;
+    std::uint16_t running = 0;
+    std::uint16_t waiting = 0;
+    std::uint16_t slots = 1;
+    std::uint16_t slowdown_percent = 100;
+    std::uint16_t age_ms = 0;
+    bool failed = false;
+};
+
+/// One datagram.
+struct fleet_datagram {
+    bool has_members = false;
+    gossip_message members;
+    list_note targets;
+    std::vector<load_news> loads;
+};
+
+/// Everything that a starting instance needs while the platform is away.
+struct fleet_knowledge {
+    tables routes; ///< Version 0: unknown.
+    std::uint64_t targets_version = 0;
+    std::uint32_t targets_age_ms = 0;
+    std::vector<listed_target> targets;
+    std::vector<instance_entry> members;
+};
+
+/// `decode_*` throw `malformed_message` when the bytes are not exactly one message.
+[[nodiscard]] std::string encode_datagram(fleet_datagram const& message);
+[[nodiscard]] fleet_datagram decode_datagram(std::string_view bytes);
+[[nodiscard]] std::string encode_knowledge(fleet_knowledge const& message);
+[[nodiscard]] fleet_knowledge decode_knowledge(std::string_view bytes);
+
+} // namespace pomelospread
--- /dev/null
+++ b/Libraries/Gateway/gateway/fleet_sync.cpp
@@ -0,0 +1,494 @@
+#include "gateway/fleet_sync.hpp"
+
+#include "base/log.hpp"
+#include "base/random.hpp"
+#include "protocol/json_codec.hpp"
+#include "transport/listener.hpp"
+#include "transport/use_fiber.hpp"
+
+#include <boost/fiber/operations.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace pomelospread {
+
+namespace asio = boost::asio;
+
+namespace {
+
+using std::chrono::milliseconds;
+using clock = std::chrono::steady_clock;
+
+/// How long the platform may hold a question for newer tables; a dead connection shows by its keep-alive.
+constexpr auto tables_wait = milliseconds(20000);
+/// After a change, so that a storm of changes is read in a few steps. A small part of the time in which a
+/// change must be in force.
+constexpr auto change_pause = milliseconds(150);
+constexpr auto failure_pause = milliseconds(900);
+constexpr auto first_failure_pause = milliseconds(250);
+constexpr auto poll_step = milliseconds(50);
+constexpr auto snapshot_timeout = milliseconds(800);
+constexpr auto announce_pause = milliseconds(1500);
+/// Changes in one datagram; a longer list is fetched.
+constexpr std::size_t max_note_changes = 6;
+constexpr std::size_t max_datagram = 1400;
+constexpr std::size_t max_snapshot_bytes = std::size_t{16} * 1024 * 1024;
+constexpr std::size_t max_addresses = 64;
+/// Callers of a zone are given only its own instances when there are this many.
+constexpr std::size_t enough_in_zone = 2;
+constexpr char const* snapshot_path = "/snapshot";
+
+milliseconds jittered(milliseconds base) {
+    return base + milliseconds(thread_random()() % static_cast<std::uint64_t>(base.count() / 2 + 1));
+}
+
+std::uint32_t age_ms(clock::time_point at, clock::time_point now) {
+    auto const age = std::chrono::duration_cast<milliseconds>(now - at).count();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, 3600000));
+}
+
+} // namespace
+
+fleet_sync::fleet_sync(io_thread& thread, forwarding_state& state, target_client& targets, fleet_store& store,
+                       instance_entry self)
+    : m_thread(thread), m_state(state), m_target_client(targets), m_store(store),
+      m_members(std::move(self), membership_limits{}), m_socket(thread.io()),
+      m_peer_server(thread, state.settings.peers, http_limits{},
+                    [this](http_request& request) { return answer_peer(request); }),
+      m_peer_connections(thread.io(), 1, std::chrono::seconds(5)) {
+    auto const local = to_tcp(state.settings.peers);
+    m_socket.open(asio::ip::udp::v4());
+    m_socket.bind({local.address(), local.port()});
+    m_socket.non_blocking(true);
+}
+
+fleet_sync::~fleet_sync() = default;
+
+void fleet_sync::start() {
+    m_peer_server.start();
+    m_thread.spawn([this] { receive(); });
+    m_thread.spawn([this] { follow_tables(); });
+    m_thread.spawn([this] { follow_targets(); });
+    m_thread.spawn([this] { follow_members(); });
+    m_thread.spawn([this] { gossip(); });
+}
+
+bool fleet_sync::is_ready() const {
+    return m_list.is_known() && m_state.routes.load()->content().version > 0;
+}
+
+void fleet_sync::note_store(bool answered, std::string_view what, std::string_view reason) {
+    if (answered == m_store_answers) {
+        return;
+    }
+    m_store_answers = answered;
+    log_line(answered ? log_level::info : log_level::warning, answered ? "store_regained" : "store_lost")
+        .field("call", what)
+        .field("reason", reason)
+        .write();
+}
+
+// Tables
+
+void fleet_sync::follow_tables() {
+    std::uint32_t failures = 0;
+    while (!m_stopping) {
+        try {
+            auto reading = m_tables_read ? m_store.await_tables(m_tables_store_version, tables_wait)
+                                         : m_store.read_tables();
+            note_store(true, "tables", "");
+            failures = 0;
+            m_tables_store_version = std::max(m_tables_store_version, reading.store_version);
+            if (reading.content) {
+                m_tables_read = true;
+                adopt_tables(std::move(*reading.content), "store");
+                boost::this_fiber::sleep_for(change_pause);
+            } else if (!m_tables_read) {
+                boost::this_fiber::sleep_for(first_failure_pause);
+            }
+        } catch (history_lost const& failure) {
+            log_line(log_level::info, "tables_history_lost").field("reason", failure.what()).write();
+            m_tables_read = false;
+        } catch (error const& failure) {
+            m_state.counters.add(counter::table_reads_failed);
+            note_store(false, "tables", failure.what());
+            boost::this_fiber::sleep_for(jittered(failures++ == 0 ? first_failure_pause : failure_pause));
+        }
+    }
+}
+
+void fleet_sync::adopt_tables(tables content, std::string_view source) {
+    auto const known = m_state.routes.load()->content().version;
+    if (content.version <= known) {
+        return;
+    }
+    log_line(log_level::info, "tables_applied")
+        .field("version", content.version)
+        .field("before", known)
+        .field("routes", static_cast<std::uint64_t>(content.routes.size()))
+        .field("source", source)
+        .write();
+    m_state.counters.add(counter::tables_applied);
+    m_state.routes.store(std::make_shared<route_index const>(std::move(content)));
+}
+
+// Targets
+
+std::vector<instance_id> fleet_sync::live_members() const {
+    std::vector<instance_id> ids;
+    for (auto const& member : m_members.view()) {
+        if (member.status == member_status::alive) {
+            ids.push_back(member.entry.id);
+        }
+    }
+    return ids;
+}
+
+void fleet_sync::follow_targets() {
+    while (!m_stopping) {
+        auto const rank = read_schedule::rank_of(m_members.self().id, live_members());
+        if (m_list.is_known()) {
+            auto const due = m_list.read_at() + m_schedule.allowed_age(rank);
+            auto const now = clock::now();
+            if (now < due) {
+                boost::this_fiber::sleep_until(std::min(due, now + m_schedule.allowed_age(0)));
+                continue;
+            }
+        }
+        try {
+            auto reading = m_store.read_targets();
+            note_store(true, "targets", "");
+            auto const now = clock::now();
+            auto const before = m_list.current();
+            auto const base = m_list.digest();
+            bool const was_known = m_list.is_known();
+            bool const changed = m_list.apply_reading(std::move(reading), now);
+            auto note = current_note();
+            if (changed) {
+                adopt_targets("store");
+                if (was_known) {
+                    note.base_digest = base;
+                    auto const& after = m_list.current().targets;
+                    for (auto const& target : after) {
+                        if (std::ranges::find(before.targets, target) == before.targets.end()) {
+                            note.changed.push_back(target);
+                        }
+                    }
+                    for (auto const& target : before.targets) {
+                        if (std::ranges::find(after, target.id, &listed_target::id) == after.end()) {
+                            note.removed.push_back(target.id);
+                        }
+                    }
+                    if (note.changed.size() + note.removed.size() > max_note_changes) {
+                        note.base_digest = 0;
+                        note.changed.clear();
+                        note.removed.clear();
+                    }
+                }
+            }
+            tell_list(std::move(note));
+        } catch (error const& failure) {
+            m_list.note_failure(clock::now());
+            m_state.counters.add(counter::table_reads_failed);
+            note_store(false, "targets", failure.what());
+            boost::this_fiber::sleep_for(jittered(m_schedule.pause_after_failure(rank)));
+        }
+    }
+}
+
+list_note fleet_sync::current_note() const {
+    return {.version = m_list.current().version,
+            .digest = m_list.digest(),
+            .age_ms = age_ms(m_list.read_at(), clock::now())};
+}
+
+void fleet_sync::tell_list(list_note note) {
+    fleet_datagram const message{.targets = std::move(note)};
+    for (auto const& member : m_members.view()) {
+        if (member.entry.id != m_members.self().id) {
+            send(message, member.entry.peer_address);
+        }
+    }
+}
+
+void fleet_sync::adopt_targets(std::string_view source) {
+    auto const& current = m_list.current();
+    m_state.board.set_targets(current.targets, clock::now());
+    m_target_client.drop_unless([&](std::string const& id) {
+        auto const found = std::ranges::lower_bound(current.targets, id, {}, &listed_target::id);
+        return found != current.targets.end() && found->id == id && !found->leaving;
+    });
+    auto const leaving = std::ranges::count_if(current.targets, &listed_target::leaving);
+    log_line(log_level::info, "targets_applied")
+        .field("version", current.version)
+        .field("targets", static_cast<std::uint64_t>(current.targets.size()))
+        .field("leaving", static_cast<std::int64_t>(leaving))
+        .field("source", source)
+        .write();
+}
+
+void fleet_sync::take_list_note(list_note const& note, endpoint const& sender) {
+    if (note.version == 0) {
+        return;
+    }
+    auto const read_at = clock::now() - milliseconds(note.age_ms);
+    if (note.digest == m_list.digest()) {
+        m_list.confirm(note.version, note.digest, read_at);
+        return;
+    }
+    if (note.version <= m_list.current().version) {
+        return;
+    }
+    if (note.base_digest != 0 && note.base_digest == m_list.digest()) {
+        target_reading next{.version = note.version, .targets = m_list.current().targets};
+        std::erase_if(next.targets, [&](auto const& target) {
+            return std::ranges::find(note.removed, target.id) != note.removed.end() ||
+                   std::ranges::find(note.changed, target.id, &listed_target::id) != note.changed.end();
+        });
+        next.targets.insert(next.targets.end(), note.changed.begin(), note.changed.end());
+        std::ranges::sort(next.targets, {}, &listed_target::id);
+        if (m_list.apply_shared(std::move(next), read_at)) {
+            adopt_targets("peer");
+        }
+        return;
+    }
+    if (!m_fetching) {
+        m_thread.spawn([this, sender] { fetch_snapshot(sender); });
+    }
+}
+
+// Members
+
+void fleet_sync::follow_members() {
+    // The seeds may be up while the platform is not.
+    for (auto const& seed : m_state.settings.seeds) {
+        endpoint const peer{seed, m_state.settings.peers.port};
+        if (peer != m_state.settings.peers && !is_ready()) {
+            m_thread.spawn([this, peer] { fetch_snapshot(peer); });
+        }
+    }
+    bool announced = false;
+    while (!m_stopping && !announced) {
+        try {
+            m_store.instances().announce(m_members.self());
+            auto const entries = m_store.instances().read();
+            m_members.merge_list(entries, clock::now());
+            announced = true;
+            log_line(log_level::info, "members_read").field("members", static_cast<std::uint64_t>(entries.size())).write();
+            // News of this instance to all at once; gossip keeps it up.
+            fleet_datagram const hello{.has_members = true,
+                                       .members = m_members.compose(0, thread_random()),
+                                       .targets = current_note()};
+            for (auto const& entry : entries) {
+                if (entry.id != m_members.self().id) {
+                    send(hello, entry.peer_address);
+                }
+            }
+        } catch (error const& failure) {
+            note_store(false, "members", failure.what());
+            boost::this_fiber::sleep_for(jittered(announce_pause));
+        }
+    }
+}
+
+void fleet_sync::gossip() {
+    auto const period = membership_limits{}.heartbeat_period;
+    std::uint32_t beats = 0;
+    while (!m_stopping) {
+        boost::this_fiber::sleep_for(period);
+        if (m_members.tick(clock::now())) {
+            m_state.counters.add(counter::pauses_detected);
+            log_line(log_level::warning, "pause_detected").write();
+        }
+        fleet_datagram const message{
+            .has_members = true,
+            .members = m_members.compose(m_state.routes.load()->content().version, thread_random()),
+            .targets = current_note()};
+        for (auto const& receiver : m_members.choose_receivers(thread_random())) {
+            send(message, receiver.peer_address);
+        }
+        auto const view = m_members.view();
+        m_state.extra.set_instances(view.size());
+        if (!is_ready() && ++beats % 4 == 0 && !m_fetching) {
+            std::vector<endpoint> peers;
+            for (auto const& seed : m_state.settings.seeds) {
+                peers.push_back({seed, m_state.settings.peers.port});
+            }
+            for (auto const& member : view) {
+                peers.push_back(member.entry.peer_address);
+            }
+            std::erase(peers, m_state.settings.peers);
+            if (!peers.empty()) {
+                auto const peer = peers[thread_random()() % peers.size()];
+                m_thread.spawn([this, peer] { fetch_snapshot(peer); });
+            }
+        }
+    }
+}
+
+void fleet_sync::send(fleet_datagram const& message, endpoint const& to) {
+    auto const bytes = encode_datagram(message);
+    if (bytes.size() > max_datagram) {
+        log_line(log_level::warning, "datagram_too_long").field("bytes", static_cast<std::uint64_t>(bytes.size())).write();
+        return;
+    }
+    auto const remote = to_tcp(to);
+    boost::system::error_code error;
+    m_socket.send_to(asio::buffer(bytes), {remote.address(), remote.port()}, 0, error);
+    m_state.counters.add(counter::heartbeats_sent);
+    m_state.counters.add(counter::heartbeat_bytes_sent, bytes.size());
+}
+
+void fleet_sync::receive() {
+    std::array<char, 2048> buffer{};
+    while (!m_stopping) {
+        boost::system::error_code error;
+        asio::ip::udp::endpoint sender;
+        auto const count = m_socket.async_receive_from(asio::buffer(buffer), sender, use_fiber(error));
+        if (m_stopping) {
+            return;
+        }
+        if (error) {
+            boost::this_fiber::sleep_for(poll_step);
+            continue;
+        }
+        m_state.counters.add(counter::heartbeats_received);
+        m_state.counters.add(counter::heartbeat_bytes_received, count);
+        try {
+            take(decode_datagram({buffer.data(), count}), sender.address().to_string());
+        } catch (malformed_message const& failure) {
+            m_state.counters.add(counter::datagrams_rejected);
+            log_line(log_level::warning, "datagram_rejected").field("reason", failure.what()).write();
+        }
+    }
+}
+
+void fleet_sync::take(fleet_datagram const& message, std::string const& sender_ip) {
+    endpoint const sender{sender_ip, m_state.settings.peers.port};
+    if (message.has_members) {
+        m_members.receive(message.members, clock::now());
+        if (message.members.tables_version > m_state.routes.load()->content().version && !m_fetching) {
+            m_thread.spawn([this, sender] { fetch_snapshot(sender); });
+        }
+    }
+    take_list_note(message.targets, sender);
+}
+
+bool fleet_sync::fetch_snapshot(endpoint const& peer) {
+    if (m_fetching || m_stopping) {
+        return false;
+    }
+    m_fetching = true;
+    bool answered = false;
+    try {
+        auto const deadline = clock::now() + snapshot_timeout;
+        auto connection = m_peer_connections.take_idle(peer);
+        if (connection == nullptr) {
+            connection = m_peer_connections.open(peer, deadline);
+        }
+        http_request request(boost::beast::http::verb::get, snapshot_path, 11);
+        set_field(request, "Host", to_string(peer));
+        auto const response = connection->exchange(request, max_snapshot_bytes, deadline);
+        m_peer_connections.give_back(peer, std::move(connection));
+        auto snapshot = decode_knowledge(response.body());
+        auto const now = clock::now();
+        m_members.merge_list(snapshot.members, now);
+        if (snapshot.routes.version > 0) {
+            adopt_tables(std::move(snapshot.routes), "peer");
+        }
+        if (snapshot.targets_version > 0 &&
+            m_list.apply_shared({.version = snapshot.targets_version, .targets = std::move(snapshot.targets)},
+                                now - milliseconds(snapshot.targets_age_ms))) {
+            adopt_targets("peer");
+        }
+        answered = true;
+    } catch (error const& failure) {
+        log_line(log_level::info, "snapshot_failed").field("peer", to_string(peer)).field("reason", failure.what()).write();
+    }
+    m_fetching = false;
+    return answered;
+}
+
+http_response fleet_sync::answer_peer(http_request const& request) const {
+    if (request.target() != snapshot_path) {
+        return make_response(404, "text/plain", "");
+    }
+    fleet_knowledge snapshot{.routes = m_state.routes.load()->content(),
+                            .targets_version = m_list.current().version,
+                            .targets_age_ms = age_ms(m_list.read_at(), clock::now()),
+                            .targets = m_list.current().targets,
+                            .members = {}};
+    for (auto const& member : m_members.view()) {
+        snapshot.members.push_back(member.entry);
+    }
+    return make_response(200, "application/octet-stream", encode_knowledge(snapshot));
+}
+
+std::vector<endpoint> fleet_sync::addresses_for(std::string const& zone) const {
+    std::vector<endpoint> near;
+    std::vector<endpoint> all;
+    for (auto const& member : m_members.view()) {
+        if (member.status != member_status::alive) {
+            continue;
+        }
+        all.push_back(member.entry.caller_address);
+        if (member.entry.zone == zone) {
+            near.push_back(member.entry.caller_address);
+        }
+    }
+    auto chosen = near.size() >= enough_in_zone ? std::move(near) : std::move(all);
+    std::ranges::shuffle(chosen, thread_random());
+    if (chosen.size() > max_addresses) {
+        chosen.resize(max_addresses);
+    }
+    return chosen;
+}
+
+void fleet_sync::announce_leaving() {
+    m_members.set_leaving();
+    fleet_datagram const message{.has_members = true,
+                                 .members = m_members.compose(m_state.routes.load()->content().version, thread_random()),
+                                 .targets = current_note()};
+    for (auto const& member : m_members.view()) {
+        if (member.entry.id != m_members.self().id) {
+            send(message, member.entry.peer_address);
+        }
+    }
+    m_thread.spawn([this] {
+        try {
+            m_store.instances().withdraw(m_members.self().id);
+        } catch (error const& failure) {
+            log_line(log_level::warning, "withdraw_failed").field("reason", failure.what()).write();
+        }
+    });
+}
+
+void fleet_sync::stop() {
+    m_stopping = true;
+    boost::system::error_code ignored;
+    m_socket.close(ignored);
+    m_peer_server.stop_listening();
+}
+
+std::string fleet_sync::status() const {
+    nlohmann::json members = nlohmann::json::array();
+    for (auto const& member : m_members.view()) {
+        members.push_back({{"id", format_instance(member.entry.id)},
+                           {"zone", member.entry.zone},
+                           {"status", std::string(to_string(member.status))},
+                           {"tables_version", member.tables_version}});
+    }
+    return nlohmann::json{{"instance", format_instance(m_members.self().id)},
+                          {"tables_version", m_state.routes.load()->content().version},
+                          {"targets_version", m_list.current().version},
+                          {"targets", m_list.current().targets.size()},
+                          {"targets_age_ms", age_ms(m_list.read_at(), clock::now())},
+                          {"store_answers", m_store_answers},
+                          {"members", members}}
+               .dump() +
+           "\n";
+}
+
+} // namespace pomelospread
--- /dev/null
+++ b/Libraries/Gateway/gateway/forwarding_dialect.cpp
@@ -0,0 +1,49 @@
+#include "gateway/forwarding_dialect.hpp"
+
+#include "protocol/platform_client.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <charconv>
+
+namespace pomelospread {
+
+std::optional<load_report> forwarding_dialect::parse_load(std::string_view text) const {
+    std::array<std::uint32_t, 4> values{0, 0, 1, 100};
+    std::size_t count = 0;
+    while (!text.empty() && count < values.size()) {
+        auto const parsed = std::from_chars(text.data(), text.data() + text.size(), values[count]);
+        if (parsed.ec != std::errc()) {
+            return std::nullopt;
+        }
+        ++count;
+        text.remove_prefix(static_cast<std::size_t>(parsed.ptr - text.data()));
+        while (!text.empty() && (text.front() == ',' || text.front() == ' ')) {
+            text.remove_prefix(1);
+        }
+    }
+    if (count < 3) {
+        return std::nullopt;
+    }
+    return load_report{.running = values[0],
+                       .waiting = values[1],
+                       .slots = std::max(1U, values[2]),
+                       .slowdown = static_cast<double>(std::max(1U, values[3])) / 100.0};
+}
+
+address_query forwarding_dialect::parse_address_query(std::string_view target) const {
+    return {.host = query_value(target, "host"), .zone = query_value(target, "zone")};
+}
+
+http_response forwarding_dialect::address_answer(std::span<endpoint const> addresses,
+                                                 std::chrono::milliseconds keep) const {
+    nlohmann::json list = nlohmann::json::array();
+    for (auto const& address : addresses) {
+        list.push_back(to_string(address));
+    }
+    return make_response(200, "application/json",
+                         nlohmann::json{{"addresses", list}, {"keep_ms", keep.count()}}.dump() + "\n");
+}
+
+} // namespace pomelospread
--- /dev/null
+++ b/Libraries/Gateway/gateway/gateway_settings.cpp
@@ -0,0 +1,142 @@
+#include "gateway/gateway_settings.hpp"
+
+#include "base/flags.hpp"
+#include "base/read_file.hpp"
+
+#include <gflags/gflags.h>
+
+#include <cmath>
+#include <sstream>
+
+DEFINE_string(settings, "", "File of settings, one --NAME=VALUE a line; lines that begin with # are skipped.");
+DEFINE_string(callers, "127.0.0.1:8080", "Address for requests, IP-NUMBER:PORT.");
+DEFINE_string(readiness, "127.0.0.1:8083", "Address for readiness checks.");
+DEFINE_string(addresses, "127.0.0.1:8084", "Address for callers' questions which instances to use.");
+DEFINE_string(peers, "127.0.0.1:8081", "Address for other instances, TCP and UDP.");
+DEFINE_string(metrics, "", "Address for metrics and status; empty for none.");
+DEFINE_string(store, "127.0.0.1:8090", "Address of the platform's store.");
+DEFINE_string(own_zone, "zone-a", "Availability zone of this instance.");
+DEFINE_string(seeds, "", "Addresses of instances that may be up, separated by commas; their ports are not used.");
+DEFINE_string(verbosity, "info", "Lowest level that is logged: debug, info, warning, error.");
+DEFINE_double(drain_bound_s, 2.0, "A leaving target gets no new request after this, 0.5 to 60 s.");
+DEFINE_double(stop_grace_s, 6.0, "Time from the stop signal to the kill, 1 to 600 s.");
+DEFINE_double(address_keep_s, 2.0, "Callers may keep an address answer this long, 0.1 to 600 s.");
+DEFINE_double(extra_share, 0.2, "Extra tries for each request, over the whole fleet, 0 to 1.");
+DEFINE_double(extra_slack, 40, "Extra tries beyond that share in one window, over the whole fleet, 0 to 100000.");
+DEFINE_double(account_flush_s, 10, "Time between writes of the account, 0.1 to 600 s.");
+DEFINE_int64(account_capacity, 20000, "Account records held in memory, 100 to 10000000.");
+
+namespace pomelospread {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Part of the allowed extra tries that is used; the rest is for instances that do not know each other yet.
+constexpr double used_share_of_ratio = 0.8;
+constexpr double used_share_of_slack = 0.6;
+
+class reader {
+public:
+    gateway_settings read() {
+        gateway_settings result;
+        result.callers = address("callers", FLAGS_callers);
+        result.readiness = address("readiness", FLAGS_readiness);
+        result.addresses = address("addresses", FLAGS_addresses);
+        result.peers = address("peers", FLAGS_peers);
+        result.store = address("store", FLAGS_store);
+        if (!FLAGS_metrics.empty()) {
+            result.metrics = address("metrics", FLAGS_metrics);
+        }
+        result.zone = FLAGS_own_zone;
+        result.settings_file = FLAGS_settings;
+        read_seeds(result);
+        collect([&] { result.level = parse_log_level(FLAGS_verbosity); });
+        result.drain_bound = seconds("drain_bound_s", FLAGS_drain_bound_s, 0.5, 60);
+        result.stop_grace = seconds("stop_grace_s", FLAGS_stop_grace_s, 1, 600);
+        result.address_keep = seconds("address_keep_s", FLAGS_address_keep_s, 0.1, 600);
+        result.flush_interval = seconds("account_flush_s", FLAGS_account_flush_s, 0.1, 600);
+        result.extra_share = number("extra_share", FLAGS_extra_share, 0, 1) * used_share_of_ratio;
+        result.extra_burst = number("extra_slack", FLAGS_extra_slack, 0, 100000) * used_share_of_slack;
+        check_range(m_problems, "account_capacity", FLAGS_account_capacity, 100, 10000000);
+        result.journal_capacity = static_cast<std::size_t>(FLAGS_account_capacity);
+        if (!m_problems.empty()) {
+            throw invalid_input(std::move(m_problems));
+        }
+        return result;
+    }
+
+private:
+    template<class Read>
+    void collect(Read read) {
+        try {
+            read();
+        } catch (invalid_input const& failure) {
+            m_problems.insert(m_problems.end(), failure.problems().begin(), failure.problems().end());
+        }
+    }
+
+    endpoint address(char const* name, std::string const& text) {
+        endpoint result;
+        collect([&] { result = parse_endpoint(text, "--" + std::string(name)); });
+        return result;
+    }
+
+    double number(char const* name, double value, double low, double high) {
+        if (!(value >= low && value <= high)) {
+            m_problems.push_back({.field = "--" + std::string(name),
+                                  .problem = std::to_string(value) + " is out of range",
+                                  .allowed = std::to_string(low) + " to " + std::to_string(high)});
+            return low;
+        }
+        return value;
+    }
+
+    milliseconds seconds(char const* name, double value, double low, double high) {
+        return milliseconds(std::llround(number(name, value, low, high) * 1000.0));
+    }
+
+    void read_seeds(gateway_settings& result) {
+        std::istringstream list(FLAGS_seeds);
+        for (std::string seed; std::getline(list, seed, ',');) {
+            if (!seed.empty()) {
+                collect([&] { result.seeds.push_back(parse_endpoint(seed, "--seeds").address); });
+            }
+        }
+    }
+
+    std::vector<field_problem> m_problems;
+};
+
+void read_settings_file(std::string const& path) {
+    std::istringstream text(read_file(path, "--settings"));
+    std::vector<std::string> lines;
+    for (std::string line; std::getline(text, line);) {
+        if (!line.empty() && line.front() != '#') {
+            lines.push_back(line);
+        }
+    }
+    std::vector<char*> arguments;
+    for (auto& line : lines) {
+        arguments.push_back(line.data());
+    }
+    static_cast<void>(read_command_line(arguments, gateway_settings_file));
+}
+
+} // namespace
+
+gateway_settings read_gateway_settings(std::span<char* const> arguments) {
+    static_cast<void>(read_command_line(arguments, gateway_settings_file));
+    if (!FLAGS_settings.empty()) {
+        read_settings_file(FLAGS_settings);
+        // Flags win over the file.
+        static_cast<void>(read_command_line(arguments, gateway_settings_file));
+    }
+    return reader().read();
+}
+
+std::string describe_gateway_settings() {
+    return describe_flags(gateway_settings_file);
+}
+
+} // namespace pomelospread
--- /dev/null
+++ b/Libraries/Gateway/gateway/gateway_settings.hpp
@@ -0,0 +1,44 @@
+// The settings of a forwarding instance, from a settings file, flags and environment variables.
+#pragma once
+
+#include "base/endpoint.hpp"
+#include "base/log.hpp"
+
+#include <chrono>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace pomelospread {
+
+/// Every setting, checked.
+struct gateway_settings {
+    endpoint callers;   ///< Requests.
+    endpoint readiness; ///< The platform's checks.
+    endpoint addresses; ///< Callers' questions for addresses.
+    endpoint peers;     ///< Other instances, TCP and UDP.
+    std::optional<endpoint> metrics;
+    endpoint store;
+    std::string zone;
+    std::vector<std::string> seeds; ///< IP numbers of instances that may be up.
+    std::string settings_file;
+    log_level level = log_level::info;
+    std::chrono::milliseconds drain_bound{2000}; ///< A leaving target gets nothing new after this.
+    std::chrono::milliseconds stop_grace{6000};  ///< From the stop signal to the kill.
+    std::chrono::milliseconds address_keep{2000};
+    std::chrono::milliseconds flush_interval{10000};
+    double extra_share = 0.2; ///< Extra tries for each request, over the fleet.
+    double extra_burst = 20;  ///< Extra tries at once, over the fleet.
+    std::size_t journal_capacity = 20000;
+};
+
+/// Reads the settings file when `--settings` names one, then `arguments`. Throws `invalid_input`.
+[[nodiscard]] gateway_settings read_gateway_settings(std::span<char* const> arguments);
+
+[[nodiscard]] std::string describe_gateway_settings();
+
+constexpr std::string_view gateway_settings_file = "gateway/gateway_settings.cpp";
+
+} // namespace pomelospread
--- /dev/null
+++ b/Libraries/Gateway/gateway/target_client.cpp
@@ -0,0 +1,197 @@
+#include "gateway/target_client.hpp"
+
+#include "transport/listener.hpp"
+#include "transport/socket_options.hpp"
+#include "transport/use_fiber.hpp"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <sys/socket.h>
+
+#include <charconv>
+
+namespace pomelospread {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+/// Answers to others that are skipped in search of this request's own.
+constexpr int max_skipped_answers = 3;
+
+/// Seconds of `timeout=` in a Keep-Alive field.
+std::optional<std::chrono::milliseconds> stated_idle_time(http_response const& response) {
+    auto const text = field_of(response, "Keep-Alive");
+    auto const at = text.find("timeout=");
+    if (at == std::string_view::npos) {
+        return std::nullopt;
+    }
+    std::int64_t seconds = 0;
+    auto const digits = text.substr(at + 8);
+    if (std::from_chars(digits.data(), digits.data() + digits.size(), seconds).ec != std::errc()) {
+        return std::nullopt;
+    }
+    return std::chrono::seconds(seconds);
+}
+
+} // namespace
+
+class target_client::connection {
+public:
+    explicit connection(asio::io_context& io) : stream(io) {}
+
+    /// False when the target closed the connection or sent bytes that nobody asked for.
+    [[nodiscard]] bool is_quiet() {
+        char byte = 0;
+        auto const received = ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) && buffer.size() == 0;
+    }
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    steady_time usable_until{};
+    bool write_done = true;
+    bool write_failed = false;
+};
+
+void target_client::attempt::cancel() {
+    m_cancelled = true;
+    if (m_connection != nullptr) {
+        m_connection->stream.close();
+    }
+}
+
+target_client::target_client(asio::io_context& io, forwarding_dialect const& dialect, target_client_limits limits)
+    : m_io(io), m_dialect(dialect), m_limits(limits) {}
+
+target_client::~target_client() = default;
+
+std::shared_ptr<target_client::connection> target_client::take_idle(std::string const& target_id) {
+    auto const found = m_idle.find(target_id);
+    if (found == m_idle.end()) {
+        return nullptr;
+    }
+    auto const now = std::chrono::steady_clock::now();
+    while (!found->second.empty()) {
+        auto open = std::move(found->second.back());
+        found->second.pop_back();
+        if (open->usable_until > now && open->is_quiet()) {
+            return open;
+        }
+    }
+    return nullptr;
+}
+
+exchange_report target_client::exchange(std::string const& target_id, endpoint const& address,
+                                        std::shared_ptr<http_request const> request, steady_time deadline,
+                                        attempt& handle) {
+    boost::system::error_code error;
+    auto open = take_idle(target_id);
+    bool const is_new = open == nullptr;
+    if (is_new) {
+        open = std::make_shared<connection>(m_io);
+        handle.m_connection = open;
+        open->stream.expires_at(std::min(deadline, std::chrono::steady_clock::now() + m_limits.connect_timeout));
+        open->stream.async_connect(to_tcp(address), use_fiber(error));
+        if (error || handle.m_cancelled) {
+            handle.m_connection.reset();
+            return {.end = exchange_end::not_sent,
+                    .reason = handle.m_cancelled ? "cancelled" : "no connection: " + error.message(),
+                    .new_connection = true};
+        }
+        configure_socket(open->stream.socket());
+    }
+    handle.m_connection = open;
+    handle.m_sent = true;
+    open->write_done = false;
+    open->write_failed = false;
+    open->stream.expires_at(deadline);
+    // Written beside the read: a target may answer before it has read a long body.
+    http::async_write(open->stream, *request,
+                      [open, request](boost::system::error_code failure, std::size_t /*bytes*/) {
+                          open->write_done = !failure;
+                          open->write_failed = static_cast<bool>(failure);
+                      });
+    bool reusable = false;
+    auto report = read_answer(*open, *request, reusable);
+    report.new_connection = is_new;
+    handle.m_connection.reset();
+    if (!reusable || !open->write_done || handle.m_cancelled) {
+        open->stream.close();
+        return report;
+    }
+    open->stream.expires_never();
+    auto& idle = m_idle[target_id];
+    idle.push_back(std::move(open));
+    while (idle.size() > m_limits.idle_per_target) {
+        idle.pop_front();
+    }
+    return report;
+}
+
+exchange_report target_client::read_answer(connection& open, http_request const& request,
+                                           bool& reusable) {
+    auto const request_id = field_of(request, m_dialect.request_id);
+    for (int skipped = 0; skipped <= max_skipped_answers; ++skipped) {
+        http::response_parser<http::string_body> parser;
+        parser.body_limit(m_limits.max_answer_bytes);
+        parser.skip(request.method() == http::verb::head);
+        boost::system::error_code error;
+        http::async_read(open.stream, open.buffer, parser, use_fiber(error));
+        if (error) {
+            return {.end = exchange_end::broken,
+                    .reason = error == beast::error::timeout ? "no answer in time" : "no whole answer: " + error.message()};
+        }
+        bool const ends_by_close = parser.need_eof();
+        bool const keeps_open = parser.keep_alive() && !ends_by_close;
+        auto response = parser.release();
+        if (response.result_int() < 200) {
+            continue;
+        }
+        auto const answered_id = field_of(response, m_dialect.request_id);
+        if (!request_id.empty() && !answered_id.empty() && answered_id != request_id) {
+            // A late second answer to an earlier request; this request's own follows it.
+            if (!keeps_open) {
+                return {.end = exchange_end::broken, .reason = "the answer to another request"};
+            }
+            continue;
+        }
+        auto const idle = stated_idle_time(response);
+        auto const idle_time = idle ? *idle - m_limits.idle_margin : m_limits.max_idle;
+        reusable = keeps_open && skipped == 0 && open.buffer.size() == 0 && idle_time.count() > 0;
+        open.usable_until = std::chrono::steady_clock::now() + idle_time;
+        bool const is_own = request_id.empty() || !answered_id.empty();
+        auto report = judge(std::move(response), is_own);
+        report.leaving = !keeps_open;
+        if (report.end == exchange_end::broken) {
+            reusable = false;
+        }
+        return report;
+    }
+    return {.end = exchange_end::broken, .reason = "only answers to other requests"};
+}
+
+exchange_report target_client::judge(http_response response, bool is_own) const {
+    exchange_report report;
+    report.load = m_dialect.parse_load(field_of(response, m_dialect.load));
+    auto const status = response.result_int();
+    if (status == 421 || (status >= 400 && !field_of(response, m_dialect.not_started).empty())) {
+        report.end = exchange_end::not_run;
+        report.wrong_target = status == 421;
+        report.reason = "the target did not run it, status " + std::to_string(status);
+        return report;
+    }
+    if (!is_own || field_of(response, m_dialect.signature).empty() || !field_of(response, "Content-Encoding").empty()) {
+        report.reason = "an answer that is not the target's own, status " + std::to_string(status);
+        return report;
+    }
+    report.end = exchange_end::answered;
+    report.response = std::move(response);
+    return report;
+}
+
+} // namespace pomelospread
--- /dev/null
+++ b/Libraries/Gateway/gateway/target_client.hpp
@@ -0,0 +1,93 @@
+// Sends requests to targets: one try a call, never a silent resend, and only answers that are whole and the
+// request's own.
+#pragma once
+
+#include "base/endpoint.hpp"
+#include "gateway/forwarding_dialect.hpp"
+#include "protocol/http_types.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace pomelospread {
+
+/// What is known of a try.
+enum class exchange_end : std::uint8_t {
+    answered, ///< A whole answer of the target, of any status.
+    not_sent, ///< No byte left: the connection could not be opened.
+    not_run,  ///< The target said that it did not run the request.
+    broken,   ///< It may have run; no whole answer came.
+};
+
+struct exchange_report {
+    exchange_end end = exchange_end::broken;
+    std::optional<http_response> response; ///< Set when `answered`.
+    std::string reason;                    ///< For the log, unless answered.
+    std::optional<load_report> load;
+    bool wrong_target = false; ///< Another target has the address.
+    bool new_connection = false;
+    bool leaving = false; ///< The target closes its connection after this answer.
+};
+
+struct target_client_limits {
+    std::chrono::milliseconds connect_timeout{400}; ///< Several round trips and one lost packet.
+    std::size_t max_answer_bytes = std::size_t{16} * 1024 * 1024;
+    std::size_t idle_per_target = 4;
+    /// Idle connections are given up this much before the target's own time-out could close them.
+    std::chrono::milliseconds idle_margin{1500};
+    std::chrono::milliseconds max_idle{8000}; ///< Where the target names no time-out.
+};
+
+/// Connections of one thread to targets.
+class target_client {
+public:
+    target_client(boost::asio::io_context& io, forwarding_dialect const& dialect, target_client_limits limits);
+    ~target_client();
+
+    class connection;
+
+    /// A try in progress, so that another fiber of the thread can end it.
+    class attempt {
+    public:
+        void cancel();
+        [[nodiscard]] bool is_cancelled() const noexcept { return m_cancelled; }
+        /// Whether bytes of the request may have reached the target.
+        [[nodiscard]] bool is_sent() const noexcept { return m_sent; }
+
+    private:
+        friend class target_client;
+        std::shared_ptr<connection> m_connection;
+        bool m_cancelled = false;
+        bool m_sent = false;
+    };
+
+    /// Tries once. `request` is sent as it is; `deadline` ends the wait.
+    exchange_report exchange(std::string const& target_id, endpoint const& address,
+                             std::shared_ptr<http_request const> request, steady_time deadline, attempt& handle);
+
+    /// Closes idle connections of targets for which `keep` says no.
+    template<class Keep>
+    void drop_unless(Keep keep) {
+        std::erase_if(m_idle, [&](auto const& entry) { return !keep(entry.first); });
+    }
+    void set_idle_per_target(std::size_t count) noexcept { m_limits.idle_per_target = count; }
+
+private:
+    [[nodiscard]] std::shared_ptr<connection> take_idle(std::string const& target_id);
+    [[nodiscard]] exchange_report read_answer(connection& open, http_request const& request,
+                                              bool& reusable);
+    [[nodiscard]] exchange_report judge(http_response response, bool is_own) const;
+
+    boost::asio::io_context& m_io;
+    forwarding_dialect const& m_dialect;
+    target_client_limits m_limits;
+    std::map<std::string, std::deque<std::shared_ptr<connection>>> m_idle;
+};
+
+} // namespace pomelospread
--- a/Libraries/Protocol/protocol/peer_messages.cpp
+++ b/Libraries/Protocol/protocol/peer_messages.cpp
@@ -1,37 +1,9 @@
 #include "protocol/peer_messages.hpp"
 
-#include "base/errors.hpp"
-
-#include <cereal/archives/portable_binary.hpp>
-#include <cereal/types/string.hpp>
-#include <cereal/types/vector.hpp>
-
-#include <sstream>
-#include <streambuf>
+#include "protocol/cereal_codec.hpp"
 
 namespace pomelospread {
 
-template<class Archive>
-void serialize(Archive& archive, endpoint& value) {
-    archive(value.address, value.port);
-}
-
-template<class Archive>
-void serialize(Archive& archive, instance_entry& value) {
-    archive(value.id, value.zone, value.caller_address, value.peer_address, value.admin_address,
-            value.leaving);
-}
-
-template<class Archive>
-void serialize(Archive& archive, member_digest& value) {
-    archive(value.id, value.heartbeat, value.leaving);
-}
-
-template<class Archive>
-void serialize(Archive& archive, gossip_message& value) {
-    archive(value.sender, value.tables_version, value.digests);
-}
-
 template<class Archive>
 void serialize(Archive& archive, peer_hello& value) {
     archive(value.from, value.to);
@@ -87,45 +59,14 @@
     archive(value.acks);
 }
 
-namespace {
-
-/// A vector's size is read before its elements; a forged size must not allocate more than was sent.
-class bounded_input final : public std::streambuf {
-public:
-    explicit bounded_input(std::string_view bytes) {
-        auto* const begin = const_cast<char*>(bytes.data());
-        setg(begin, begin, begin + bytes.size());
-    }
-    [[nodiscard]] bool is_consumed() const { return gptr() == egptr(); }
-};
-
-} // namespace
-
 template<class Message>
 std::string encode(Message const& message) {
-    std::ostringstream stream;
-    {
-        cereal::PortableBinaryOutputArchive archive(stream);
-        archive(message);
-    }
-    return std::move(stream).str();
+    return detail::encode_message(message);
 }
 
 template<class Message>
 Message decode(std::string_view bytes) {
-    bounded_input buffer(bytes);
-    std::istream stream(&buffer);
-    Message message{};
-    try {
-        cereal::PortableBinaryInputArchive archive(stream);
-        archive(message);
-    } catch (std::exception const& failure) {
-        throw malformed_message(failure.what());
-    }
-    if (!buffer.is_consumed()) {
-        throw malformed_message("bytes after the message");
-    }
-    return message;
+    return detail::decode_message<Message>(bytes);
 }
 
 template std::string encode(gossip_message const&);
--- /dev/null
+++ b/Libraries/State/state/route_index.cpp
@@ -0,0 +1,35 @@
+#include "state/route_index.hpp"
+
+#include <algorithm>
+
+namespace pomelospread {
+
+std::string normalized_host(std::string_view field) {
+    std::string host(field.substr(0, field.rfind(':')));
+    std::ranges::transform(host, host.begin(), [](unsigned char c) {
+        return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : static_cast<char>(c);
+    });
+    return host;
+}
+
+route_index::route_index(tables content) : m_content(std::move(content)) {
+    for (auto const& route : m_content.routes) {
+        m_by_host[route.host].push_back(&route);
+    }
+    for (auto& [host, routes] : m_by_host) {
+        std::ranges::stable_sort(routes, std::greater{},
+                                 [](route_row const* route) { return route->path_prefix.size(); });
+    }
+}
+
+route_row const* route_index::find(std::string_view host, std::string_view path) const {
+    auto const routes = m_by_host.find(normalized_host(host));
+    if (routes == m_by_host.end()) {
+        return nullptr;
+    }
+    auto const found = std::ranges::find_if(
+        routes->second, [&](route_row const* route) { return path.starts_with(route->path_prefix); });
+    return found == routes->second.end() ? nullptr : *found;
+}
+
+} // namespace pomelospread
--- /dev/null
+++ b/Libraries/State/state/route_index.hpp
@@ -0,0 +1,31 @@
+// Finds the route of a request by host and path.
+#pragma once
+
+#include "state/tables.hpp"
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace pomelospread {
+
+/// The host of a `Host` field: lower case, without a port.
+[[nodiscard]] std::string normalized_host(std::string_view field);
+
+/// Tables with their routes sorted for look-up by host. Immutable, so thread-safe.
+class route_index {
+public:
+    explicit route_index(tables content);
+
+    [[nodiscard]] tables const& content() const noexcept { return m_content; }
+    /// The route of the host with the longest prefix that begins the path, or nullptr.
+    [[nodiscard]] route_row const* find(std::string_view host, std::string_view path) const;
+
+private:
+    tables m_content;
+    std::unordered_map<std::string, std::vector<route_row const*>> m_by_host; ///< Longest prefix first.
+};
+
+} // namespace pomelospread
--- a/Libraries/State/state/tables.hpp
+++ b/Libraries/State/state/tables.hpp
@@ -12,9 +12,18 @@
 
 namespace pomelospread {
 
+/// A pool that takes a part of a route's requests.
+struct pool_share {
+    std::string pool;
+    std::int64_t weight = 1; ///< Its part is this over the sum of the route's weights.
+
+    bool operator==(pool_share const&) const = default;
+};
+
 /// One row of the routes table: which requests go to which pool, and how.
 struct route_row {
     std::string name;
+    std::string host;                 ///< Lower case, without a port; empty for any.
     std::string path_prefix;          ///< Begins with '/'; the longest matching prefix wins.
     std::vector<std::string> methods; ///< Upper-case HTTP methods.
     std::string pool;
@@ -22,6 +31,10 @@
     std::chrono::milliseconds deadline{2000};
     bool hedge = true;                      ///< Only looked at when `idempotent`.
     std::int64_t customer_concurrency = 64; ///< Requests of one customer in progress at one instance.
+    std::vector<pool_share> split;          ///< Instead of `pool`, when not empty.
+    std::chrono::milliseconds target_latency{500}; ///< An answer within it is in time.
+    std::int64_t priority = 0;                     ///< 0 is the most urgent.
+    std::int64_t max_attempts = 2;                 ///< Targets that one request may be sent to.
 
     bool operator==(route_row const&) const = default;
 };
@@ -47,14 +60,26 @@
     std::int64_t slots_per_target = 1;
     std::int64_t connections_per_target = 100; ///< Idle ones of the whole fleet, shared out evenly.
     std::int64_t homes = 0; ///< Instances that callers are sent to for this pool; 0 lets its size decide.
+    std::string health_path;
     std::vector<target_row> targets;
 
     bool operator==(pool_row const&) const = default;
 };
 
+/// What a caller may send, and how long it may take or stay idle.
+struct caller_limits {
+    std::int64_t max_header_bytes = 16384;
+    std::int64_t max_body_bytes = std::int64_t{64} * 1024 * 1024;
+    std::chrono::milliseconds header_timeout{3000};
+    std::chrono::milliseconds idle_timeout{15000};
+
+    bool operator==(caller_limits const&) const = default;
+};
+
 /// Both tables under one version number; a version is never changed once accepted.
 struct tables {
     std::uint64_t version = 0;
+    caller_limits limits;
     std::vector<route_row> routes;
     std::vector<pool_row> pools;
 
--- a/Programs/pomelospread/main.cpp
+++ b/Programs/pomelospread/main.cpp
@@ -3,6 +3,10 @@
 #include "base/log.hpp"
 #include "entry/instance.hpp"
 #include "entry/settings.hpp"
+#include "gateway/gateway.hpp"
+#include "gateway/gateway_settings.hpp"
+#include "platform/store_client.hpp"
+#include "platform/wire_dialect.hpp"
 
 #include <csignal>
 #include <iostream>
@@ -15,7 +19,8 @@
 constexpr char const* usage =
     "pomelospread: an entry instance of the pomelospread load balancer\n\n"
     "usage: pomelospread [--SETTING=VALUE ...]\n"
-    "       pomelospread --check_settings [--SETTING=VALUE ...]\n\n"
+    "       pomelospread --check_settings [--SETTING=VALUE ...]\n"
+    "       pomelospread forward [--SETTING=VALUE ...]   routes and targets of the users' platform\n\n"
     "Each setting is also read from the environment; flags win.\n"
     "Stops in order on SIGTERM and SIGINT.\n\n"
     "exit codes: 0 stopped in order, 1 could not run, 64 bad settings\n\nsettings:\n";
@@ -45,6 +50,28 @@
     return static_cast<int>(exit_code::success);
 }
 
+int run_forward(std::span<char* const> arguments, bool check_only) {
+    auto const line = read_command_line(arguments, gateway_settings_file);
+    if (line.help) {
+        std::cout << usage << describe_gateway_settings();
+        return static_cast<int>(exit_code::success);
+    }
+    auto const read = [arguments] { return read_gateway_settings(arguments); };
+    auto settings = read();
+    if (check_only) {
+        std::cout << "the settings are valid\n";
+        return static_cast<int>(exit_code::success);
+    }
+    log_writer::start(settings.level, log_format::key_value);
+    platform::wire_dialect const dialect;
+    gateway(std::move(settings), dialect,
+            [](boost::asio::io_context& io, gateway_settings const& checked) -> std::unique_ptr<fleet_store> {
+                return std::make_unique<platform::store_client>(io, checked.store);
+            })
+        .run(read);
+    return static_cast<int>(exit_code::success);
+}
+
 } // namespace
 
 int main(int argc, char** argv) {
@@ -53,8 +80,9 @@
     bool const check_only = std::erase_if(arguments, [](char const* argument) {
                                 return std::string_view(argument) == "--check_settings";
                             }) > 0;
+    bool const forward = !arguments.empty() && std::string_view(arguments.front()) == "forward";
     try {
-        return run(arguments, check_only);
+        return forward ? run_forward(std::span(arguments).subspan(1), check_only) : run(arguments, check_only);
     } catch (invalid_input const& failure) {
         std::cerr << "pomelospread: " << failure.what() << "\n";
         return static_cast<int>(exit_code::usage);
