--- a/Libraries/Coordination/coordination/target_board.cpp
+++ b/Libraries/Coordination/coordination/target_board.cpp
@@ -1,5 +1,7 @@
 #include "coordination/target_board.hpp"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -26,6 +28,10 @@
 
 } // namespace
 
+std::uint32_t target_hash(std::string_view id) noexcept {
+    return static_cast<std::uint32_t>(XXH3_64bits(id.data(), id.size()));
+}
+
 target_board::target_board(std::string own_zone, board_policy policy)
     : m_own_zone(std::move(own_zone)), m_policy(policy) {}
 
@@ -52,6 +58,62 @@
         next.emplace(listed.id, std::move(state));
     }
     m_targets = std::move(next);
+    m_by_hash.clear();
+    for (auto const& [id, state] : m_targets) {
+        m_by_hash.emplace(target_hash(id), id);
+    }
+}
+
+std::string const* target_board::find_hash(std::uint32_t hash) const {
+    auto const found = m_by_hash.find(hash);
+    return found == m_by_hash.end() ? nullptr : &found->second;
+}
+
+std::uint32_t target_board::in_flight(std::string const& id) const {
+    auto const found = m_targets.find(id);
+    return found == m_targets.end() ? 0 : found->second.in_flight;
+}
+
+std::string const* target_board::pool_of(std::string const& id) const {
+    auto const found = m_targets.find(id);
+    return found == m_targets.end() ? nullptr : &found->second.listed.pool;
+}
+
+double target_board::peers_in_flight(target_state const& state, time_point now) const {
+    double sum = 0;
+    for (auto const& each : state.peers) {
+        if (now - each.told_at < m_policy.peer_count_life) {
+            sum += each.in_flight;
+        }
+    }
+    return sum;
+}
+
+void target_board::peer_load(std::uint64_t peer, std::string const& id, std::uint32_t in_flight,
+                             std::uint32_t failures, time_point now) {
+    auto const found = m_targets.find(id);
+    if (found == m_targets.end()) {
+        return;
+    }
+    auto& state = found->second;
+    auto known = std::ranges::find(state.peers, peer, &peer_count::peer);
+    if (known == state.peers.end()) {
+        std::erase_if(state.peers,
+                      [&](auto const& each) { return now - each.told_at >= m_policy.peer_count_life; });
+        state.peers.push_back({.peer = peer});
+        known = std::prev(state.peers.end());
+    }
+    known->in_flight = in_flight;
+    known->told_at = now;
+    for (std::uint32_t i = 0; i < std::min(failures, 3U); ++i) {
+        learn(state, 1.0, now);
+    }
+}
+
+void target_board::learn(target_state& state, double failure, time_point now) const {
+    auto const before = failure_rate(state, now);
+    state.failure_rate = before + m_policy.failure_weight * (failure - before);
+    state.failure_at = now;
 }
 
 double target_board::failure_rate(target_state const& state, time_point now) const {
@@ -61,13 +123,13 @@
 target_choice target_board::assess(target_state const& state, pool_state const& pool, time_point now) const {
     auto const usual = pool.work_ms > 0 ? pool.work_ms : unknown_work_ms;
     double slowdown = pool.mean_slowdown;
-    double others = 0;
+    double others = peers_in_flight(state, now);
     target_choice choice{.id = state.listed.id, .address = state.listed.address, .in_flight = state.in_flight};
     if (state.reported_at) {
         auto const age = now - *state.reported_at;
         auto const weight = decayed(age, m_policy.slowdown_half_life);
         slowdown = weight * state.slowdown + (1.0 - weight) * pool.mean_slowdown;
-        others = state.others * decayed(age, m_policy.count_half_life);
+        others += state.others * decayed(age, m_policy.count_half_life);
         choice.report_age_ms = std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
     }
     auto const slots = static_cast<double>(std::max<std::int64_t>(1, state.listed.slots));
@@ -155,9 +217,7 @@
     case board_outcome::cancelled:
         return;
     }
-    auto const before = failure_rate(state, now);
-    state.failure_rate = before + m_policy.failure_weight * (failure - before);
-    state.failure_at = now;
+    learn(state, failure, now);
 }
 
 void target_board::report(std::string const& id, load_report const& value, time_point received) {
@@ -172,7 +232,7 @@
     state.reported_at = received;
     state.slowdown = std::clamp(value.slowdown, 0.1, 100.0);
     auto const told = static_cast<double>(value.running) + value.waiting;
-    state.others = std::max(0.0, told - state.in_flight);
+    state.others = std::max(0.0, told - state.in_flight - peers_in_flight(state, received));
     auto& pool = m_pools[state.listed.pool];
     pool.mean_slowdown += mean_slowdown_weight * (state.slowdown - pool.mean_slowdown);
 }
--- a/Libraries/Coordination/coordination/target_board.hpp
+++ b/Libraries/Coordination/coordination/target_board.hpp
@@ -13,6 +13,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace pomelospread {
@@ -31,6 +32,8 @@
     std::chrono::milliseconds slowdown_half_life{100};
     /// Counts of other instances' requests age with the length of a request.
     std::chrono::milliseconds count_half_life{200};
+    /// A count that another instance told is believed this long; it tells every change at once.
+    std::chrono::milliseconds peer_count_life{2000};
     /// Failures are forgiven at this rate, so that a target that recovered is tried again.
     std::chrono::milliseconds failure_half_life{3000};
     /// Weight of the newest outcome in a target's failure rate.
@@ -46,6 +49,9 @@
     double tie_share = 0.1;
 };
 
+/// The short form of a target's id in messages.
+[[nodiscard]] std::uint32_t target_hash(std::string_view id) noexcept;
+
 /// How a try at a target ended, as far as the choice learns from it.
 enum class board_outcome : std::uint8_t {
     answered,  ///< A whole answer below 500.
@@ -86,6 +92,13 @@
     void start(std::string const& id);
     /// `latency` is looked at when the request was answered.
     void finish(std::string const& id, board_outcome outcome, std::chrono::nanoseconds latency, time_point now);
+    /// Another instance tells how many requests it has at the target now, and how many failed there.
+    void peer_load(std::uint64_t peer, std::string const& id, std::uint32_t in_flight, std::uint32_t failures,
+                   time_point now);
+    /// The target with this hash, or nothing.
+    [[nodiscard]] std::string const* find_hash(std::uint32_t hash) const;
+    [[nodiscard]] std::uint32_t in_flight(std::string const& id) const;
+    [[nodiscard]] std::string const* pool_of(std::string const& id) const;
     /// A report in an answer to this instance, or told by another instance that received it at `received`.
     void report(std::string const& id, load_report const& value, time_point received);
     /// The target is not what the list says, or leaves: it gets nothing new until the list names it anew.
@@ -98,12 +111,18 @@
     [[nodiscard]] bool is_usable(std::string const& id) const;
 
 private:
+    struct peer_count {
+        std::uint64_t peer = 0;
+        std::uint32_t in_flight = 0;
+        time_point told_at;
+    };
     struct target_state {
         listed_target listed;
         time_point listed_at;
         bool retired = false;
         std::uint32_t in_flight = 0;
-        double others = 0; ///< Requests of other instances at `reported_at`.
+        double others = 0; ///< Requests at `reported_at` of instances that tell nothing of theirs.
+        std::vector<peer_count> peers;
         double slowdown = 1.0;
         std::optional<time_point> reported_at;
         double failure_rate = 0;
@@ -117,11 +136,14 @@
 
     [[nodiscard]] target_choice assess(target_state const& state, pool_state const& pool, time_point now) const;
     [[nodiscard]] double failure_rate(target_state const& state, time_point now) const;
+    [[nodiscard]] double peers_in_flight(target_state const& state, time_point now) const;
+    void learn(target_state& state, double failure, time_point now) const;
 
     std::string m_own_zone;
     board_policy m_policy;
     std::map<std::string, target_state, std::less<>> m_targets;
     std::map<std::string, pool_state, std::less<>> m_pools;
+    std::unordered_map<std::uint32_t, std::string> m_by_hash;
 };
 
 } // namespace pomelospread
--- a/Libraries/Gateway/gateway/fleet_messages.cpp
+++ b/Libraries/Gateway/gateway/fleet_messages.cpp
@@ -20,8 +20,8 @@
 
 template<class Archive>
 void serialize(Archive& archive, load_news& value) {
-    archive(value.target_hash, value.running, value.waiting, value.slots, value.slowdown_percent, value.age_ms,
-            value.failed);
+    archive(value.target_hash, value.in_flight, value.running, value.waiting, value.slowdown_percent, value.age_ms,
+            value.failures);
 }
 
 template<class Archive>
@@ -30,7 +30,11 @@
     if (value.has_members) {
         archive(value.members);
     }
-    archive(value.targets, value.loads);
+    archive(value.has_targets);
+    if (value.has_targets) {
+        archive(value.targets);
+    }
+    archive(value.loads);
 }
 
 template<class Archive>
--- a/Libraries/Gateway/gateway/fleet_messages.hpp
+++ b/Libraries/Gateway/gateway/fleet_messages.hpp
@@ -23,21 +23,22 @@
     std::vector<std::string> removed;
 };
 
-/// What a target said of itself in an answer to the sender.
+/// What the sender knows of a target: its own requests there, and what the target last said of itself.
 struct load_news {
-    std::uint32_t target_hash = 0;
+    std::uint32_t target_hash = 0; ///< `target_hash` of the target's id.
+    std::uint16_t in_flight = 0;
     std::uint16_t running = 0;
     std::uint16_t waiting = 0;
-    std::uint16_t slots = 1;
-    std::uint16_t slowdown_percent = 100;
-    std::uint16_t age_ms = 0;
-    bool failed = false;
+    std::uint16_t slowdown_percent = 0; ///< 0: no report since the last news.
+    std::uint16_t age_ms = 0;           ///< Of the report.
+    std::uint8_t failures = 0;          ///< Requests of the sender that failed there since the last news.
 };
 
 /// One datagram.
 struct fleet_datagram {
     bool has_members = false;
     gossip_message members;
+    bool has_targets = false;
     list_note targets;
     std::vector<load_news> loads;
 };
--- a/Libraries/Gateway/gateway/fleet_sync.cpp
+++ b/Libraries/Gateway/gateway/fleet_sync.cpp
@@ -57,7 +57,8 @@
       m_members(std::move(self), membership_limits{}), m_socket(thread.io()),
       m_peer_server(thread, state.settings.peers, http_limits{},
                     [this](http_request& request) { return answer_peer(request); }),
-      m_peer_connections(thread.io(), 1, std::chrono::seconds(5)) {
+      m_peer_connections(thread.io(), 1, std::chrono::seconds(5)),
+      m_loads(state, [this](fleet_datagram const& message, endpoint const& to) { send(message, to); }) {
     auto const local = to_tcp(state.settings.peers);
     m_socket.open(asio::ip::udp::v4());
     m_socket.bind({local.address(), local.port()});
@@ -73,6 +74,7 @@
     m_thread.spawn([this] { follow_targets(); });
     m_thread.spawn([this] { follow_members(); });
     m_thread.spawn([this] { gossip(); });
+    m_thread.spawn([this] { tell_loads(); });
 }
 
 bool fleet_sync::is_ready() const {
@@ -205,7 +207,7 @@
 }
 
 void fleet_sync::tell_list(list_note note) {
-    fleet_datagram const message{.targets = std::move(note)};
+    fleet_datagram const message{.has_targets = true, .targets = std::move(note)};
     for (auto const& member : m_members.view()) {
         if (member.entry.id != m_members.self().id) {
             send(message, member.entry.peer_address);
@@ -259,6 +261,15 @@
     }
 }
 
+void fleet_sync::tell_loads() {
+    while (!m_stopping) {
+        boost::this_fiber::sleep_for(load_exchange::interval);
+        if (m_loads.has_news()) {
+            m_loads.tell(m_members.view(), m_members.self().id);
+        }
+    }
+}
+
 // Members
 
 void fleet_sync::follow_members() {
@@ -280,6 +291,7 @@
             // News of this instance to all at once; gossip keeps it up.
             fleet_datagram const hello{.has_members = true,
                                        .members = m_members.compose(0, thread_random()),
+                                       .has_targets = true,
                                        .targets = current_note()};
             for (auto const& entry : entries) {
                 if (entry.id != m_members.self().id) {
@@ -305,6 +317,7 @@
         fleet_datagram const message{
             .has_members = true,
             .members = m_members.compose(m_state.routes.load()->content().version, thread_random()),
+            .has_targets = true,
             .targets = current_note()};
         for (auto const& receiver : m_members.choose_receivers(thread_random())) {
             send(message, receiver.peer_address);
@@ -373,7 +386,12 @@
             m_thread.spawn([this, sender] { fetch_snapshot(sender); });
         }
     }
-    take_list_note(message.targets, sender);
+    if (message.has_targets) {
+        take_list_note(message.targets, sender);
+    }
+    if (!message.loads.empty()) {
+        m_loads.receive(message.loads, sender);
+    }
 }
 
 bool fleet_sync::fetch_snapshot(endpoint const& peer) {
@@ -450,6 +468,7 @@
     m_members.set_leaving();
     fleet_datagram const message{.has_members = true,
                                  .members = m_members.compose(m_state.routes.load()->content().version, thread_random()),
+                                 .has_targets = true,
                                  .targets = current_note()};
     for (auto const& member : m_members.view()) {
         if (member.entry.id != m_members.self().id) {
--- a/Libraries/Gateway/gateway/fleet_sync.hpp
+++ b/Libraries/Gateway/gateway/fleet_sync.hpp
@@ -8,6 +8,7 @@
 #include "coordination/target_list.hpp"
 #include "gateway/fleet_messages.hpp"
 #include "gateway/forwarding_state.hpp"
+#include "gateway/load_exchange.hpp"
 #include "gateway/target_client.hpp"
 #include "protocol/http_connection.hpp"
 #include "protocol/http_server.hpp"
@@ -44,6 +45,7 @@
     void follow_targets();
     void follow_members();
     void gossip();
+    void tell_loads();
     void receive();
     void take(fleet_datagram const& message, std::string const& sender_ip);
     void take_list_note(list_note const& note, endpoint const& sender);
@@ -68,6 +70,7 @@
     boost::asio::ip::udp::socket m_socket;
     http_server m_peer_server;
     connection_cache m_peer_connections;
+    load_exchange m_loads;
     std::uint64_t m_tables_store_version = 0;
     bool m_tables_read = false; ///< From the platform, in this process's life.
     bool m_store_answers = true;
--- a/Libraries/Gateway/gateway/forwarding_state.hpp
+++ b/Libraries/Gateway/gateway/forwarding_state.hpp
@@ -3,6 +3,7 @@
 
 #include "base/metrics.hpp"
 #include "coordination/ratio_budget.hpp"
+#include "coordination/load_changes.hpp"
 #include "coordination/target_board.hpp"
 #include "entry/account_keeper.hpp"
 #include "gateway/forwarding_dialect.hpp"
@@ -41,6 +42,7 @@
     rcu_snapshot<route_index> routes; ///< Version 0 until tables are known.
     target_board board;
     extra_tries extra;
+    load_changes changes;
     metrics counters;
     account_keeper account;
 };
--- /dev/null
+++ b/Libraries/Gateway/gateway/load_exchange.hpp
@@ -0,0 +1,47 @@
+// Instances that send requests to the same pool tell each other what they have at its targets and what the
+// targets said, so that they choose like one.
+#pragma once
+
+#include "coordination/membership.hpp"
+#include "gateway/fleet_messages.hpp"
+#include "gateway/forwarding_state.hpp"
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace pomelospread {
+
+/// Belongs to the instance's thread. An instance shows its interest in a pool by its own news of it, so nobody
+/// is told of pools that it does not use; now and then everyone is told, so that interest is found.
+class load_exchange {
+public:
+    using sender = std::function<void(fleet_datagram const&, endpoint const&)>;
+
+    /// Between two rounds of news: a few round trips between zones, and a small part of the time for which a
+    /// target's speed holds.
+    static constexpr auto interval = std::chrono::milliseconds(15);
+
+    load_exchange(forwarding_state& state, sender send) : m_state(state), m_send(std::move(send)) {}
+
+    [[nodiscard]] bool has_news() const noexcept { return !m_state.changes.empty(); }
+    void tell(std::span<member_view const> members, instance_id self);
+    void receive(std::span<load_news const> news, endpoint const& from);
+
+private:
+    using time_point = std::chrono::steady_clock::time_point;
+
+    static constexpr auto tell_all_every = std::chrono::seconds(1);
+    static constexpr auto interest_life = std::chrono::seconds(3);
+    static constexpr std::size_t max_news_per_datagram = 60;
+
+    forwarding_state& m_state;
+    sender m_send;
+    std::map<std::string, time_point> m_told_all;                  ///< By pool.
+    std::map<std::string, std::map<endpoint, time_point>> m_interest; ///< By pool: who told news of it, and when.
+};
+
+} // namespace pomelospread
--- a/Libraries/Gateway/gateway/request_dispatcher.cpp
+++ b/Libraries/Gateway/gateway/request_dispatcher.cpp
@@ -243,6 +243,7 @@
         .field("left_ms", left)
         .write();
     m_state.board.start(choice->id);
+    m_state.changes.note(choice->id);
     m_state.counters.add(counter::target_exchanges);
     tries.excluded.push_back(choice->id);
     tries.tries.push_back(std::move(state));
@@ -275,6 +276,8 @@
     if (report.load) {
         m_state.board.report(state.target, *report.load, now);
     }
+    m_state.changes.note(state.target, report.load, outcome == board_outcome::failed || outcome == board_outcome::timed_out,
+                         now);
     if (report.wrong_target) {
         m_state.board.retire(state.target);
     }
