Status checks: Ask three likely targets for their load before a choice

Cause: a target's slowdown holds for a whole request and changes every 150 ms; a booking that lands on a slow one misses its aim. Change: targets with a report older than 25 ms are checked, three at once, within a rate shared by the pool's homes.

--- a/Libraries/Base/base/metrics.cpp
+++ b/Libraries/Base/base/metrics.cpp
@@ -47,7 +47,8 @@
     "heartbeat_bytes_sent",
     "heartbeat_bytes_received",
     "datagrams_rejected",
-    "pauses_detected"};
+    "pauses_detected",
+    "status_checks"};
 
 void append_sample(std::string& text, std::string_view name, std::string_view suffix, std::string_view labels,
                    std::string const& value) {
--- a/Libraries/Base/base/metrics.hpp
+++ b/Libraries/Base/base/metrics.hpp
@@ -55,6 +55,7 @@
     heartbeat_bytes_received,
     datagrams_rejected,
     pauses_detected,
+    status_checks,
     count_of_counters,
 };
 
--- a/Libraries/Coordination/coordination/target_board.cpp
+++ b/Libraries/Coordination/coordination/target_board.cpp
@@ -155,6 +155,18 @@
     return choice;
 }
 
+std::vector<target_choice> target_board::assess_all(pool_state const& pool, std::span<std::string const> excluded,
+                                                    time_point now) const {
+    std::vector<target_choice> choices;
+    for (auto const& id : pool.members) {
+        auto const& state = m_targets.find(id)->second;
+        if (!state.retired && !state.listed.leaving && std::ranges::find(excluded, id) == excluded.end()) {
+            choices.push_back(assess(state, pool, now));
+        }
+    }
+    return choices;
+}
+
 std::optional<target_choice> target_board::choose(std::string_view pool,
                                                   std::span<std::string const> excluded, time_point now,
                                                   random_source& random) const {
@@ -162,22 +174,12 @@
     if (found == m_pools.end()) {
         return std::nullopt;
     }
-    std::vector<target_choice> choices;
-    double least = 0;
-    for (auto const& id : found->second.members) {
-        auto const& state = m_targets.find(id)->second;
-        if (state.retired || state.listed.leaving || std::ranges::find(excluded, id) != excluded.end()) {
-            continue;
-        }
-        choices.push_back(assess(state, found->second, now));
-        if (choices.size() == 1 || choices.back().expected_ms < least) {
-            least = choices.back().expected_ms;
-        }
-    }
+    auto choices = assess_all(found->second, excluded, now);
     if (choices.empty()) {
         return std::nullopt;
     }
     auto const candidates = choices.size();
+    auto const least = std::ranges::min(choices, {}, &target_choice::expected_ms).expected_ms;
     std::erase_if(choices,
                   [&](auto const& each) { return each.expected_ms > least * (1.0 + m_policy.tie_share); });
     auto chosen = choices[random() % choices.size()];
@@ -185,6 +187,35 @@
     return chosen;
 }
 
+std::vector<target_choice> target_board::worth_checking(std::string_view pool, std::span<std::string const> excluded,
+                                                        std::size_t count, std::chrono::milliseconds fresh,
+                                                        time_point now, random_source& random) const {
+    auto const found = m_pools.find(pool);
+    if (found == m_pools.end() || count == 0) {
+        return {};
+    }
+    auto choices = assess_all(found->second, excluded, now);
+    std::ranges::shuffle(choices, random);
+    std::ranges::stable_sort(choices, {}, &target_choice::expected_ms);
+    auto const is_fresh = [&](auto const& each) {
+        return each.report_age_ms >= 0 && each.report_age_ms < fresh.count();
+    };
+    // A fresh report that names no slowdown settles the choice.
+    if (!choices.empty() && is_fresh(choices.front()) &&
+        choices.front().slowdown <= std::max(1.2, found->second.mean_slowdown)) {
+        return {};
+    }
+    std::erase_if(choices, is_fresh);
+    choices.resize(std::min(choices.size(), count));
+    return choices;
+}
+
+void target_board::check_failed(std::string const& id, time_point now) {
+    if (auto const found = m_targets.find(id); found != m_targets.end()) {
+        learn(found->second, 1.0, now);
+    }
+}
+
 void target_board::start(std::string const& id) {
     if (auto const found = m_targets.find(id); found != m_targets.end()) {
         ++found->second.in_flight;
--- a/Libraries/Coordination/coordination/target_board.hpp
+++ b/Libraries/Coordination/coordination/target_board.hpp
@@ -104,6 +104,14 @@
     /// The target is not what the list says, or leaves: it gets nothing new until the list names it anew.
     void retire(std::string const& id);
 
+    /// A status check brought no answer; what the last report said counts as old.
+    void check_failed(std::string const& id, time_point now);
+    /// The targets of the pool that a check may show to be the best, with a report older than `fresh`.
+    [[nodiscard]] std::vector<target_choice> worth_checking(std::string_view pool,
+                                                            std::span<std::string const> excluded, std::size_t count,
+                                                            std::chrono::milliseconds fresh, time_point now,
+                                                            random_source& random) const;
+
     /// The usual time of a request of the pool at the usual speed; zero while nothing is known.
     [[nodiscard]] std::chrono::nanoseconds usual_work(std::string_view pool) const;
     /// Targets of the pool that may be given a request.
@@ -134,6 +142,8 @@
         double mean_slowdown = 1.5;
     };
 
+    [[nodiscard]] std::vector<target_choice> assess_all(pool_state const& pool, std::span<std::string const> excluded,
+                                                        time_point now) const;
     [[nodiscard]] target_choice assess(target_state const& state, pool_state const& pool, time_point now) const;
     [[nodiscard]] double failure_rate(target_state const& state, time_point now) const;
     [[nodiscard]] double peers_in_flight(target_state const& state, time_point now) const;
--- a/Libraries/Gateway/gateway/fleet_sync.cpp
+++ b/Libraries/Gateway/gateway/fleet_sync.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
 
 namespace pomelospread {
 
@@ -326,6 +327,12 @@
         }
         auto const view = m_members.view();
         m_state.extra.set_instances(view.size());
+        m_state.instances = view.size();
+        std::set<std::string_view> zones;
+        for (auto const& member : view) {
+            zones.insert(member.entry.zone);
+        }
+        m_state.zones = zones.size();
         if (!is_ready() && ++beats % 4 == 0 && !m_fetching) {
             std::vector<endpoint> peers;
             for (auto const& seed : m_state.settings.seeds) {
--- a/Libraries/Gateway/gateway/forwarding_state.hpp
+++ b/Libraries/Gateway/gateway/forwarding_state.hpp
@@ -40,7 +40,12 @@
     gateway_settings settings;
     forwarding_dialect const& dialect;
     rcu_snapshot<route_index> routes; ///< Version 0 until tables are known.
+    /// Of one target, by this instance.
+    [[nodiscard]] double checks_per_second() const;
+
     target_board board;
+    std::size_t instances = 1; ///< That are known.
+    std::size_t zones = 1;     ///< That they are in.
     extra_tries extra;
     load_changes changes;
     metrics counters;
--- a/Libraries/Gateway/gateway/gateway_settings.cpp
+++ b/Libraries/Gateway/gateway/gateway_settings.cpp
@@ -25,6 +25,9 @@
 DEFINE_double(extra_slack, 40, "Extra tries beyond that share in one window, over the whole fleet, 0 to 100000.");
 DEFINE_double(account_flush_s, 10, "Time between writes of the account, 0.1 to 600 s.");
 DEFINE_int64(homes_per_zone, 2, "Instances of a zone that callers of a pool are sent to, 1 to 1000.");
+DEFINE_double(checks_per_s, 30, "Status checks of one target, over the whole fleet, 0 to 10000 a second.");
+DEFINE_int64(checked_candidates, 3, "Targets that are checked before a choice, 0 to 16.");
+DEFINE_int64(fresh_report_ms, 25, "A report younger than this is not asked for again, 0 to 10000 ms.");
 DEFINE_int64(account_capacity, 20000, "Account records held in memory, 100 to 10000000.");
 
 namespace pomelospread {
@@ -36,6 +39,7 @@
 /// Part of the allowed extra tries that is used; the rest is for instances that do not know each other yet.
 constexpr double used_share_of_ratio = 0.8;
 constexpr double used_share_of_slack = 0.6;
+constexpr double used_share_of_checks = 0.7;
 
 class reader {
 public:
@@ -59,6 +63,11 @@
         result.flush_interval = seconds("account_flush_s", FLAGS_account_flush_s, 0.1, 600);
         result.extra_share = number("extra_share", FLAGS_extra_share, 0, 1) * used_share_of_ratio;
         result.extra_burst = number("extra_slack", FLAGS_extra_slack, 0, 100000) * used_share_of_slack;
+        result.checks_per_second = number("checks_per_s", FLAGS_checks_per_s, 0, 10000) * used_share_of_checks;
+        check_range(m_problems, "checked_candidates", FLAGS_checked_candidates, 0, 16);
+        result.checked_candidates = static_cast<std::size_t>(FLAGS_checked_candidates);
+        check_range(m_problems, "fresh_report_ms", FLAGS_fresh_report_ms, 0, 10000);
+        result.fresh_report = milliseconds(FLAGS_fresh_report_ms);
         check_range(m_problems, "homes_per_zone", FLAGS_homes_per_zone, 1, 1000);
         result.homes_per_zone = static_cast<std::size_t>(FLAGS_homes_per_zone);
         check_range(m_problems, "account_capacity", FLAGS_account_capacity, 100, 10000000);
--- a/Libraries/Gateway/gateway/request_dispatcher.cpp
+++ b/Libraries/Gateway/gateway/request_dispatcher.cpp
@@ -26,6 +26,8 @@
 /// When a request that was not run may come back; spread, so that refused callers do not return together.
 constexpr double retry_after_low_s = 0.05;
 constexpr double retry_after_spread_s = 0.15;
+/// A choice waits no longer for checks: a round trip between zones, a new connection and some work.
+constexpr auto check_wait = milliseconds(12);
 /// A retry with less time left than this share of the usual work would be a token.
 constexpr double least_useful_share = 0.5;
 /// A hedge is sent no earlier than this multiple of the usual work, so that ordinary requests have answered.
@@ -124,7 +126,7 @@
 };
 
 request_dispatcher::request_dispatcher(io_thread& thread, forwarding_state& state, target_client& targets)
-    : m_thread(thread), m_state(state), m_targets(targets) {}
+    : m_thread(thread), m_state(state), m_targets(targets), m_checker(thread, state, targets) {}
 
 bool request_dispatcher::may_overlap(http_request const& request) const {
     auto const routes = m_state.routes.load();
@@ -202,6 +204,23 @@
     return std::max(earliest, latest);
 }
 
+void request_dispatcher::look_at_targets(context const& request, race const& tries) {
+    auto const now = std::chrono::steady_clock::now();
+    auto const pool = std::ranges::find(request.routes->content().pools, request.pool, &pool_row::name);
+    if (pool == request.routes->content().pools.end() || pool->health_path.empty()) {
+        return;
+    }
+    std::vector<status_checker::check_target> checked;
+    for (auto const& each :
+         m_state.board.worth_checking(request.pool, tries.excluded, m_state.settings.checked_candidates,
+                                      m_state.settings.fresh_report, now, thread_random())) {
+        checked.push_back({.id = each.id, .address = each.address});
+    }
+    if (!checked.empty()) {
+        m_checker.refresh(checked, pool->health_path, now + check_wait);
+    }
+}
+
 bool request_dispatcher::start_try(context& request, race& tries, std::string_view purpose) {
     auto const now = std::chrono::steady_clock::now();
     auto const choice = m_state.board.choose(request.pool, tries.excluded, now, thread_random());
@@ -302,6 +321,10 @@
         tries->changed.notify_all();
     });
     auto const launch = [&](std::string_view purpose) {
+        look_at_targets(request, *tries);
+        if (request.watch.is_gone()) {
+            return false;
+        }
         if (!start_try(request, *tries, purpose)) {
             return false;
         }
--- a/Libraries/Gateway/gateway/request_dispatcher.hpp
+++ b/Libraries/Gateway/gateway/request_dispatcher.hpp
@@ -3,6 +3,7 @@
 
 #include "gateway/caller_server.hpp"
 #include "gateway/forwarding_state.hpp"
+#include "gateway/status_checker.hpp"
 #include "gateway/target_client.hpp"
 #include "transport/io_thread.hpp"
 
@@ -28,6 +29,8 @@
 
     [[nodiscard]] http_response serve(context& request);
     [[nodiscard]] http_response run_tries(context& request);
+    /// Asks likely targets how they are before one of them is chosen.
+    void look_at_targets(context const& request, race const& tries);
     [[nodiscard]] bool start_try(context& request, race& tries, std::string_view purpose);
     void run_try(std::shared_ptr<race> tries, std::shared_ptr<try_state> state);
     void learn(try_state const& state, exchange_report const& report);
@@ -40,6 +43,7 @@
     io_thread& m_thread;
     forwarding_state& m_state;
     target_client& m_targets;
+    status_checker m_checker;
 };
 
 } // namespace pomelospread
