--- a/Libraries/Gateway/gateway/status_checker.cpp
+++ b/Libraries/Gateway/gateway/status_checker.cpp
@@ -62,7 +62,8 @@
     target_client::attempt handle;
     m_state.counters.add(counter::status_checks);
     auto const report = m_targets.exchange(target.id, target.address, std::move(request),
-                                           std::chrono::steady_clock::now() + check_timeout, handle);
+                                           std::chrono::steady_clock::now() + check_timeout, handle,
+                                           exchange_kind::status_check);
     auto const now = std::chrono::steady_clock::now();
     if (report.load) {
         m_state.board.report(target.id, *report.load, now);
--- a/Libraries/Gateway/gateway/target_client.cpp
+++ b/Libraries/Gateway/gateway/target_client.cpp
@@ -88,7 +88,7 @@
 
 exchange_report target_client::exchange(std::string const& target_id, endpoint const& address,
                                         std::shared_ptr<http_request const> request, steady_time deadline,
-                                        attempt& handle) {
+                                        attempt& handle, exchange_kind kind) {
     boost::system::error_code error;
     auto open = take_idle(target_id);
     bool const is_new = open == nullptr;
@@ -117,7 +117,7 @@
                           open->write_failed = static_cast<bool>(failure);
                       });
     bool reusable = false;
-    auto report = read_answer(*open, *request, reusable);
+    auto report = read_answer(*open, *request, kind, reusable);
     report.new_connection = is_new;
     handle.m_connection.reset();
     if (!reusable || !open->write_done || handle.m_cancelled) {
@@ -134,7 +134,7 @@
 }
 
 exchange_report target_client::read_answer(connection& open, http_request const& request,
-                                           bool& reusable) {
+                                           exchange_kind kind, bool& reusable) {
     auto const request_id = field_of(request, m_dialect.request_id);
     for (int skipped = 0; skipped <= max_skipped_answers; ++skipped) {
         http::response_parser<http::string_body> parser;
@@ -165,7 +165,7 @@
         reusable = keeps_open && skipped == 0 && open.buffer.size() == 0 && idle_time.count() > 0;
         open.usable_until = std::chrono::steady_clock::now() + idle_time;
         bool const is_own = request_id.empty() || !answered_id.empty();
-        auto report = judge(std::move(response), is_own);
+        auto report = judge(std::move(response), is_own, kind);
         report.leaving = !keeps_open;
         if (report.end == exchange_end::broken) {
             reusable = false;
@@ -175,7 +175,7 @@
     return {.end = exchange_end::broken, .reason = "only answers to other requests"};
 }
 
-exchange_report target_client::judge(http_response response, bool is_own) const {
+exchange_report target_client::judge(http_response response, bool is_own, exchange_kind kind) const {
     exchange_report report;
     report.load = m_dialect.parse_load(field_of(response, m_dialect.load));
     auto const status = response.result_int();
@@ -185,6 +185,12 @@
         report.reason = "the target did not run it, status " + std::to_string(status);
         return report;
     }
+    if (kind == exchange_kind::status_check) {
+        report.end = report.load ? exchange_end::answered : exchange_end::broken;
+        report.reason = report.load ? "" : "a status without a load";
+        report.response = std::move(response);
+        return report;
+    }
     if (!is_own || field_of(response, m_dialect.signature).empty() || !field_of(response, "Content-Encoding").empty()) {
         report.reason = "an answer that is not the target's own, status " + std::to_string(status);
         return report;
--- a/Libraries/Gateway/gateway/target_client.hpp
+++ b/Libraries/Gateway/gateway/target_client.hpp
@@ -17,6 +17,9 @@
 
 namespace pomelospread {
 
+/// What is sent: only a request's answer bears the target's mark.
+enum class exchange_kind : std::uint8_t { request, status_check };
+
 /// What is known of a try.
 enum class exchange_end : std::uint8_t {
     answered, ///< A whole answer of the target, of any status.
@@ -38,7 +41,7 @@
 struct target_client_limits {
     std::chrono::milliseconds connect_timeout{400}; ///< Several round trips and one lost packet.
     std::size_t max_answer_bytes = std::size_t{16} * 1024 * 1024;
-    std::size_t idle_per_target = 4;
+    std::size_t idle_per_target = 16; ///< Several homes stay far below the connections that a target accepts.
     /// Idle connections are given up this much before the target's own time-out could close them.
     std::chrono::milliseconds idle_margin{1500};
     std::chrono::milliseconds max_idle{8000}; ///< Where the target names no time-out.
@@ -69,7 +72,8 @@
 
     /// Tries once. `request` is sent as it is; `deadline` ends the wait.
     exchange_report exchange(std::string const& target_id, endpoint const& address,
-                             std::shared_ptr<http_request const> request, steady_time deadline, attempt& handle);
+                             std::shared_ptr<http_request const> request, steady_time deadline, attempt& handle,
+                             exchange_kind kind = exchange_kind::request);
 
     /// Closes idle connections of targets for which `keep` says no.
     template<class Keep>
@@ -81,8 +85,8 @@
 private:
     [[nodiscard]] std::shared_ptr<connection> take_idle(std::string const& target_id);
     [[nodiscard]] exchange_report read_answer(connection& open, http_request const& request,
-                                              bool& reusable);
-    [[nodiscard]] exchange_report judge(http_response response, bool is_own) const;
+                                              exchange_kind kind, bool& reusable);
+    [[nodiscard]] exchange_report judge(http_response response, bool is_own, exchange_kind kind) const;
 
     boost::asio::io_context& m_io;
     forwarding_dialect const& m_dialect;
