Admission: Let requests wait at the entry for a place, the timely and urgent first

Change: a place count over own, told and reported requests; waiting by timeliness, then priority; refusal at once when it would most likely be late; no hedge without three free places.

--- a/Libraries/Coordination/coordination/target_board.cpp
+++ b/Libraries/Coordination/coordination/target_board.cpp
@@ -79,6 +79,52 @@
     return found == m_targets.end() ? nullptr : &found->second.listed.pool;
 }
 
+double target_board::other_requests(target_state const& state, time_point now) const {
+    auto const told = state.reported_at
+                          ? state.others * decayed(now - *state.reported_at, m_policy.count_half_life)
+                          : 0.0;
+    return told + peers_in_flight(state, now);
+}
+
+double target_board::free_places(std::string_view pool, time_point now) const {
+    auto const found = m_pools.find(pool);
+    if (found == m_pools.end()) {
+        return 0;
+    }
+    double places = 0;
+    for (auto const& id : found->second.members) {
+        auto const& state = m_targets.find(id)->second;
+        if (state.retired || state.listed.leaving) {
+            continue;
+        }
+        auto const slots = state.listed.slots;
+        auto const used = slots <= m_policy.few_slots
+                              ? static_cast<double>(slots)
+                              : std::floor(static_cast<double>(slots) * m_policy.used_share);
+        places += std::max(0.0, used - state.in_flight - std::round(other_requests(state, now)));
+    }
+    return places;
+}
+
+std::uint32_t target_board::pool_in_flight(std::string_view pool) const {
+    std::uint32_t sum = 0;
+    if (auto const found = m_pools.find(pool); found != m_pools.end()) {
+        for (auto const& id : found->second.members) {
+            sum += m_targets.find(id)->second.in_flight;
+        }
+    }
+    return sum;
+}
+
+std::chrono::nanoseconds target_board::present_work(std::string_view pool) const {
+    auto const found = m_pools.find(pool);
+    if (found == m_pools.end()) {
+        return {};
+    }
+    return std::chrono::nanoseconds(
+        static_cast<std::int64_t>(found->second.work_ms * found->second.mean_slowdown * 1e6));
+}
+
 double target_board::peers_in_flight(target_state const& state, time_point now) const {
     double sum = 0;
     for (auto const& each : state.peers) {
@@ -123,13 +169,12 @@
 target_choice target_board::assess(target_state const& state, pool_state const& pool, time_point now) const {
     auto const usual = pool.work_ms > 0 ? pool.work_ms : unknown_work_ms;
     double slowdown = pool.mean_slowdown;
-    double others = peers_in_flight(state, now);
+    double const others = other_requests(state, now);
     target_choice choice{.id = state.listed.id, .address = state.listed.address, .in_flight = state.in_flight};
     if (state.reported_at) {
         auto const age = now - *state.reported_at;
         auto const weight = decayed(age, m_policy.slowdown_half_life);
         slowdown = weight * state.slowdown + (1.0 - weight) * pool.mean_slowdown;
-        others += state.others * decayed(age, m_policy.count_half_life);
         choice.report_age_ms = std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
     }
     auto const slots = static_cast<double>(std::max<std::int64_t>(1, state.listed.slots));
--- a/Libraries/Coordination/coordination/target_board.hpp
+++ b/Libraries/Coordination/coordination/target_board.hpp
@@ -34,6 +34,10 @@
     std::chrono::milliseconds count_half_life{200};
     /// A count that another instance told is believed this long; it tells every change at once.
     std::chrono::milliseconds peer_count_life{2000};
+    /// Share of the slots that is used, where a target has more than a few: many slow down when nearly full, so
+    /// that the last slots cost throughput.
+    double used_share = 0.8;
+    std::int64_t few_slots = 3;
     /// Failures are forgiven at this rate, so that a target that recovered is tried again.
     std::chrono::milliseconds failure_half_life{3000};
     /// Weight of the newest outcome in a target's failure rate.
@@ -114,6 +118,12 @@
 
     /// The usual time of a request of the pool at the usual speed; zero while nothing is known.
     [[nodiscard]] std::chrono::nanoseconds usual_work(std::string_view pool) const;
+    /// Requests that the pool's targets can take now without being nearly full.
+    [[nodiscard]] double free_places(std::string_view pool, time_point now) const;
+    /// This instance's requests at the pool.
+    [[nodiscard]] std::uint32_t pool_in_flight(std::string_view pool) const;
+    /// The usual time of a request of the pool with its targets' present speed.
+    [[nodiscard]] std::chrono::nanoseconds present_work(std::string_view pool) const;
     /// Targets of the pool that may be given a request.
     [[nodiscard]] std::size_t usable(std::string_view pool) const;
     [[nodiscard]] bool is_usable(std::string const& id) const;
@@ -146,6 +156,7 @@
                                                         time_point now) const;
     [[nodiscard]] target_choice assess(target_state const& state, pool_state const& pool, time_point now) const;
     [[nodiscard]] double failure_rate(target_state const& state, time_point now) const;
+    [[nodiscard]] double other_requests(target_state const& state, time_point now) const;
     [[nodiscard]] double peers_in_flight(target_state const& state, time_point now) const;
     void learn(target_state& state, double failure, time_point now) const;
 
--- a/Libraries/Gateway/gateway/request_dispatcher.cpp
+++ b/Libraries/Gateway/gateway/request_dispatcher.cpp
@@ -28,6 +28,9 @@
 constexpr double retry_after_spread_s = 0.15;
 /// A choice waits no longer for checks: a round trip between zones, a new connection and some work.
 constexpr auto check_wait = milliseconds(12);
+/// How often a waiting request looks for a place when nothing tells of one.
+constexpr auto place_poll = milliseconds(20);
+constexpr double min_free_to_hedge = 3;
 /// A retry with less time left than this share of the usual work would be a token.
 constexpr double least_useful_share = 0.5;
 /// A hedge is sent no earlier than this multiple of the usual work, so that ordinary requests have answered.
@@ -102,6 +105,12 @@
     exchange_report report;
 };
 
+struct request_dispatcher::waiter {
+    bool granted = false;
+    boost::fibers::mutex mutex;
+    boost::fibers::condition_variable changed;
+};
+
 /// The tries of one request. Kept alive by every fiber that works on it.
 struct request_dispatcher::race {
     std::vector<std::shared_ptr<try_state>> tries;
@@ -204,6 +213,79 @@
     return std::max(earliest, latest);
 }
 
+bool request_dispatcher::wait_for_place(context const& request) {
+    auto& admission = m_admissions[request.pool];
+    auto const now = std::chrono::steady_clock::now();
+    if (admission.queue.size() == 0 &&
+        m_state.board.free_places(request.pool, now) >= static_cast<double>(admission.admitted + 1)) {
+        ++admission.admitted;
+        return true;
+    }
+    auto const work = m_state.board.usual_work(request.pool);
+    admission_claim const claim{.priority = request.route->priority,
+                                .latest_in_time = request.in_time_until - work,
+                                .latest_useful = request.deadline - work};
+    auto const own = std::max(1U, m_state.board.pool_in_flight(request.pool));
+    admission_pace const pace{.place_every = m_state.board.present_work(request.pool) / own};
+    auto const answer = admission.queue.judge(claim, pace, now);
+    log_line(log_level::info, "no_place")
+        .field("request", request.id)
+        .field("pool", request.pool)
+        .field("answer", answer == admission_answer::wait ? "wait" : "refuse")
+        .field("waiting", static_cast<std::uint64_t>(admission.queue.size()))
+        .field("place_every_ms", std::chrono::duration_cast<milliseconds>(pace.place_every).count())
+        .field("in_time_ms", ms_between(now, claim.latest_in_time))
+        .write();
+    m_state.counters.add(counter::queue_waits);
+    if (answer == admission_answer::refuse) {
+        return false;
+    }
+    auto const place = std::make_shared<waiter>();
+    request.watch.set_listener([place] { place->changed.notify_all(); });
+    admission.queue.push(claim, place);
+    wake_waiting(request.pool);
+    std::unique_lock lock(place->mutex);
+    while (!place->granted && !request.watch.is_gone()) {
+        auto const at = std::chrono::steady_clock::now();
+        bool const is_late = at >= claim.latest_in_time;
+        if (at >= claim.latest_useful || (is_late && admission.queue.has_timely(at))) {
+            break;
+        }
+        // Counts of other instances age without an event, so room is looked for now and then.
+        auto const step = at + place_poll;
+        place->changed.wait_until(lock, std::min(step, is_late ? claim.latest_useful : claim.latest_in_time));
+        wake_waiting(request.pool);
+    }
+    request.watch.clear_listener();
+    if (place->granted) {
+        return true;
+    }
+    admission.queue.remove(place);
+    return false;
+}
+
+void request_dispatcher::wake_waiting(std::string const& pool) {
+    auto const found = m_admissions.find(pool);
+    if (found == m_admissions.end()) {
+        return;
+    }
+    auto& admission = found->second;
+    auto const now = std::chrono::steady_clock::now();
+    while (admission.queue.size() > 0 &&
+           m_state.board.free_places(pool, now) >= static_cast<double>(admission.admitted + 1)) {
+        auto const next = admission.queue.pop(now);
+        (*next)->granted = true;
+        ++admission.admitted;
+        (*next)->changed.notify_all();
+    }
+}
+
+void request_dispatcher::wake_waiting() {
+    for (auto const& [pool, admission] : m_admissions) {
+        wake_waiting(pool);
+    }
+}
+
 void request_dispatcher::look_at_targets(context const& request, race const& tries) {
     auto const now = std::chrono::steady_clock::now();
     auto const pool = std::ranges::find(request.routes->content().pools, request.pool, &pool_row::name);
@@ -300,6 +382,9 @@
     if (report.wrong_target) {
         m_state.board.retire(state.target);
     }
+    if (auto const* pool = m_state.board.pool_of(state.target); pool != nullptr) {
+        wake_waiting(*pool);
+    }
     if (report.end != exchange_end::answered) {
         log_line(log_level::info, "try_failed")
             .field("request", field_of(*state.request, m_state.dialect.request_id))
@@ -316,23 +401,26 @@
     auto const tries = std::make_shared<race>();
     auto const& route = *request.route;
     auto& budget = m_state.extra.of(request.pool);
-    request.watch.set_listener([tries] {
-        tries->cancel_open();
-        tries->changed.notify_all();
-    });
     auto const launch = [&](std::string_view purpose) {
-        look_at_targets(request, *tries);
-        if (request.watch.is_gone()) {
+        auto& admission = m_admissions[request.pool];
+        if (!wait_for_place(request)) {
             return false;
         }
-        if (!start_try(request, *tries, purpose)) {
+        request.watch.set_listener([tries] {
+            tries->cancel_open();
+            tries->changed.notify_all();
+        });
+        look_at_targets(request, *tries);
+        --admission.admitted;
+        if (request.watch.is_gone() || !start_try(request, *tries, purpose)) {
+            wake_waiting(request.pool);
             return false;
         }
         m_thread.spawn([this, tries, state = tries->tries.back()] { run_try(tries, state); });
         return true;
     };
     if (!launch("first")) {
-        return refuse(request, "no target may be used");
+        return refuse(request, "no place at a target in time");
     }
     auto const hedge_at = hedge_time(request);
     bool hedged = !route.idempotent || route.max_attempts < 2;
@@ -398,7 +486,10 @@
         if (!hedged) {
             if (now >= hedge_at) {
                 hedged = true;
-                if (tries->sent() < route.max_attempts && budget.try_spend()) {
+                // Under load a second copy would take a place from a request that has none.
+                bool const has_room = m_admissions[request.pool].queue.size() == 0 &&
+                                      m_state.board.free_places(request.pool, now) >= min_free_to_hedge;
+                if (tries->sent() < route.max_attempts && has_room && budget.try_spend()) {
                     m_state.counters.add(counter::hedges);
                     static_cast<void>(launch("hedge"));
                 }
--- a/Libraries/Gateway/gateway/request_dispatcher.hpp
+++ b/Libraries/Gateway/gateway/request_dispatcher.hpp
@@ -1,12 +1,14 @@
 // Decides on each request: its route, its pool, which target to try, when to try another, and the answer.
 #pragma once
 
+#include "coordination/admission_queue.hpp"
 #include "gateway/caller_server.hpp"
 #include "gateway/forwarding_state.hpp"
 #include "gateway/status_checker.hpp"
 #include "gateway/target_client.hpp"
 #include "transport/io_thread.hpp"
 
+#include <map>
 #include <memory>
 #include <string>
 
@@ -19,6 +21,8 @@
     request_dispatcher(io_thread& thread, forwarding_state& state, target_client& targets);
 
     [[nodiscard]] http_response handle(http_request& request, caller_watch& watch, steady_time received);
+    /// Places may have come free; gives them to requests that wait.
+    void wake_waiting();
     /// Whether the request's route is idempotent.
     [[nodiscard]] bool may_overlap(http_request const& request) const;
 
@@ -26,9 +30,18 @@
     struct context;
     struct race;
     struct try_state;
+    struct waiter;
+
+    struct pool_admission {
+        admission_queue<std::shared_ptr<waiter>> queue;
+        std::size_t admitted = 0; ///< Have a place and did not start yet.
+    };
 
     [[nodiscard]] http_response serve(context& request);
     [[nodiscard]] http_response run_tries(context& request);
+    /// Waits for a place at the pool. False when the request is to be refused, or its caller left.
+    [[nodiscard]] bool wait_for_place(context const& request);
+    void wake_waiting(std::string const& pool);
     /// Asks likely targets how they are before one of them is chosen.
     void look_at_targets(context const& request, race const& tries);
     [[nodiscard]] bool start_try(context& request, race& tries, std::string_view purpose);
@@ -44,6 +57,7 @@
     forwarding_state& m_state;
     target_client& m_targets;
     status_checker m_checker;
+    std::map<std::string, pool_admission> m_admissions;
 };
 
 } // namespace pomelospread
