--- a/Libraries/Coordination/coordination/admission_queue.hpp
+++ b/Libraries/Coordination/coordination/admission_queue.hpp
@@ -13,9 +13,9 @@
 struct admission_claim {
     using time_point = std::chrono::steady_clock::time_point;
 
-    std::int64_t priority = 0;  ///< 0 is the most urgent.
-    time_point latest_in_time;  ///< A start after this is late.
-    time_point latest_useful;   ///< A start after this cannot be answered any more.
+    std::int64_t priority = 0; ///< 0 is the most urgent.
+    time_point latest_in_time; ///< A start after this is late.
+    time_point latest_useful;  ///< A start after this cannot be answered any more.
 };
 
 /// How fast places come free for this instance.
@@ -28,16 +28,17 @@
     refuse, ///< It would most likely be late or not served; the caller is told at once.
 };
 
-/// Those that can still be in time go first, the most urgent of them before others; under overload the rest gets
-/// what is left, instead of making everyone late (compare adaptive LIFO: Maurer, "Fail at Scale", ACM Queue
-/// 2015). Not thread-safe. `Waiter` is the owner's handle of a request.
+/// Those that can still be in time go first, the most urgent of them before others; under overload the rest
+/// gets what is left, instead of making everyone late (compare adaptive LIFO: Maurer, "Fail at Scale", ACM
+/// Queue 2015). Not thread-safe. `Waiter` is the owner's handle of a request.
 template<class Waiter>
 class admission_queue {
 public:
     using time_point = std::chrono::steady_clock::time_point;
 
     /// Whether a request that finds no free place should wait.
-    [[nodiscard]] admission_answer judge(admission_claim const& claim, admission_pace pace, time_point now) const {
+    [[nodiscard]] admission_answer judge(admission_claim const& claim, admission_pace pace,
+                                         time_point now) const {
         if (now >= claim.latest_useful || m_waiting.size() >= max_waiting) {
             return admission_answer::refuse;
         }
@@ -51,7 +52,8 @@
         auto const all = static_cast<std::int64_t>(m_waiting.size()) + 1;
         bool const is_backlog = ahead > 0;
         auto const half = (claim.latest_useful - now) / 2;
-        return is_backlog || pace.place_every * all > half ? admission_answer::refuse : admission_answer::wait;
+        return is_backlog || pace.place_every * all > half ? admission_answer::refuse
+                                                           : admission_answer::wait;
     }
 
     void push(admission_claim const& claim, Waiter waiter) {
@@ -86,7 +88,8 @@
 
     /// Whether others wait that can still be in time.
     [[nodiscard]] bool has_timely(time_point now) const {
-        return std::ranges::any_of(m_waiting, [now](auto const& each) { return each.claim.latest_in_time >= now; });
+        return std::ranges::any_of(m_waiting,
+                                   [now](auto const& each) { return each.claim.latest_in_time >= now; });
     }
     [[nodiscard]] std::size_t size() const noexcept { return m_waiting.size(); }
 
--- a/Libraries/Coordination/coordination/fleet_store.hpp
+++ b/Libraries/Coordination/coordination/fleet_store.hpp
@@ -1,4 +1,5 @@
-// What an instance needs of the platform when routes are declared there and targets register themselves there.
+// What an instance needs of the platform when routes are declared there and targets register themselves
+// there.
 #pragma once
 
 #include "coordination/platform.hpp"
--- a/Libraries/Coordination/coordination/load_changes.hpp
+++ b/Libraries/Coordination/coordination/load_changes.hpp
@@ -26,7 +26,8 @@
     /// A request was sent to the target.
     void note(std::string const& target) { m_changes[target]; }
     /// A request ended there.
-    void note(std::string const& target, std::optional<load_report> const& report, bool failed, time_point now) {
+    void note(std::string const& target, std::optional<load_report> const& report, bool failed,
+              time_point now) {
         auto& change = m_changes[target];
         if (report) {
             change.report = report;
--- a/Libraries/Coordination/coordination/pool_homes.hpp
+++ b/Libraries/Coordination/coordination/pool_homes.hpp
@@ -20,7 +20,8 @@
 
 /// The homes of `key` in the caller's zone, by rendezvous hashing (Thaler and Ravishankar, "Using name-based
 /// mappings to increase hit rates", 1998), so that few callers move when an instance comes or goes. Every
-/// instance with the same view gives the same answer. A zone without instances is served by the others' homes.
+/// instance with the same view gives the same answer. A zone without instances is served by the others'
+/// homes.
 [[nodiscard]] std::vector<endpoint> homes_of(std::string_view key, std::string_view zone,
                                              std::span<home_candidate const> candidates,
                                              std::size_t homes_per_zone);
--- a/Libraries/Coordination/coordination/read_schedule.cpp
+++ b/Libraries/Coordination/coordination/read_schedule.cpp
@@ -5,7 +5,8 @@
 namespace pomelospread {
 
 std::uint32_t read_schedule::rank_of(instance_id self, std::span<instance_id const> alive) {
-    return static_cast<std::uint32_t>(std::ranges::count_if(alive, [&](instance_id id) { return id < self; }));
+    return static_cast<std::uint32_t>(
+        std::ranges::count_if(alive, [&](instance_id id) { return id < self; }));
 }
 
 std::chrono::milliseconds read_schedule::allowed_age(std::uint32_t rank) const {
--- a/Libraries/Coordination/coordination/target_board.cpp
+++ b/Libraries/Coordination/coordination/target_board.cpp
@@ -45,7 +45,8 @@
         if (auto const known = m_targets.find(listed.id); known != m_targets.end()) {
             auto const& before = known->second;
             bool const same_life = before.listed.born_unix_ms == listed.born_unix_ms &&
-                                   before.listed.address == listed.address && before.listed.pool == listed.pool;
+                                   before.listed.address == listed.address &&
+                                   before.listed.pool == listed.pool;
             if (same_life) {
                 state = before;
                 state.listed = listed;
@@ -80,9 +81,8 @@
 }
 
 double target_board::other_requests(target_state const& state, time_point now) const {
-    auto const told = state.reported_at
-                          ? state.others * decayed(now - *state.reported_at, m_policy.count_half_life)
-                          : 0.0;
+    auto const told =
+        state.reported_at ? state.others * decayed(now - *state.reported_at, m_policy.count_half_life) : 0.0;
     return told + peers_in_flight(state, now);
 }
 
@@ -91,21 +91,25 @@
     if (found == m_pools.end()) {
         return 0;
     }
+    auto choices = assess_all(found->second, {}, now);
+    keep_good_places(choices);
     double places = 0;
-    for (auto const& id : found->second.members) {
-        auto const& state = m_targets.find(id)->second;
-        if (state.retired || state.listed.leaving) {
-            continue;
-        }
-        auto const slots = state.listed.slots;
-        auto const used = slots <= m_policy.few_slots
-                              ? static_cast<double>(slots)
-                              : std::floor(static_cast<double>(slots) * m_policy.used_share);
-        places += std::max(0.0, used - state.in_flight - std::round(other_requests(state, now)));
+    for (auto const& each : choices) {
+        places += each.free_places;
     }
     return places;
 }
 
+void target_board::keep_good_places(std::vector<target_choice>& choices) const {
+    if (choices.empty()) {
+        return;
+    }
+    auto const least = std::ranges::min(choices, {}, &target_choice::expected_ms).expected_ms;
+    std::erase_if(choices, [&](auto const& each) {
+        return each.free_places < 1.0 || each.expected_ms > least * m_policy.good_factor;
+    });
+}
+
 std::uint32_t target_board::pool_in_flight(std::string_view pool) const {
     std::uint32_t sum = 0;
     if (auto const found = m_pools.find(pool); found != m_pools.end()) {
@@ -170,7 +174,8 @@
     auto const usual = pool.work_ms > 0 ? pool.work_ms : unknown_work_ms;
     double slowdown = pool.mean_slowdown;
     double const others = other_requests(state, now);
-    target_choice choice{.id = state.listed.id, .address = state.listed.address, .in_flight = state.in_flight};
+    target_choice choice{
+        .id = state.listed.id, .address = state.listed.address, .in_flight = state.in_flight};
     if (state.reported_at) {
         auto const age = now - *state.reported_at;
         auto const weight = decayed(age, m_policy.slowdown_half_life);
@@ -194,13 +199,18 @@
     if (state.listed.zone != m_own_zone) {
         choice.expected_ms += to_ms(m_policy.foreign_zone_cost);
     }
+    auto const used =
+        state.listed.slots <= m_policy.few_slots ? slots : std::floor(slots * m_policy.used_share);
+    choice.free_places = std::max(0.0, used - state.in_flight - std::round(others));
+    choice.slots = state.listed.slots;
     choice.slowdown = slowdown;
     choice.others = others;
     choice.failure_rate = failing;
     return choice;
 }
 
-std::vector<target_choice> target_board::assess_all(pool_state const& pool, std::span<std::string const> excluded,
+std::vector<target_choice> target_board::assess_all(pool_state const& pool,
+                                                    std::span<std::string const> excluded,
                                                     time_point now) const {
     std::vector<target_choice> choices;
     for (auto const& id : pool.members) {
@@ -224,6 +234,14 @@
         return std::nullopt;
     }
     auto const candidates = choices.size();
+    if (auto with_places = choices; keep_good_places(with_places), !with_places.empty()) {
+        // Where slots are few, a short wait at a fast target is better than a free place at a slow one, and
+        // the expected time tells; where they are many, the last ones slow all of the target's requests down.
+        std::erase_if(choices, [&](auto const& each) {
+            return each.slots > m_policy.few_slots &&
+                   std::ranges::find(with_places, each.id, &target_choice::id) == with_places.end();
+        });
+    }
     auto const least = std::ranges::min(choices, {}, &target_choice::expected_ms).expected_ms;
     std::erase_if(choices,
                   [&](auto const& each) { return each.expected_ms > least * (1.0 + m_policy.tie_share); });
@@ -232,7 +250,8 @@
     return chosen;
 }
 
-std::vector<target_choice> target_board::worth_checking(std::string_view pool, std::span<std::string const> excluded,
+std::vector<target_choice> target_board::worth_checking(std::string_view pool,
+                                                        std::span<std::string const> excluded,
                                                         std::size_t count, std::chrono::milliseconds fresh,
                                                         time_point now, random_source& random) const {
     auto const found = m_pools.find(pool);
--- a/Libraries/Coordination/coordination/target_board.hpp
+++ b/Libraries/Coordination/coordination/target_board.hpp
@@ -27,17 +27,20 @@
 };
 
 struct board_policy {
-    /// A report's word on the present speed loses its weight at this rate: neighbours on a shared machine come
-    /// and go several times a second.
+    /// A report's word on the present speed loses its weight at this rate: neighbours on a shared machine
+    /// come and go several times a second.
     std::chrono::milliseconds slowdown_half_life{100};
     /// Counts of other instances' requests age with the length of a request.
     std::chrono::milliseconds count_half_life{200};
     /// A count that another instance told is believed this long; it tells every change at once.
     std::chrono::milliseconds peer_count_life{2000};
-    /// Share of the slots that is used, where a target has more than a few: many slow down when nearly full, so
-    /// that the last slots cost throughput.
+    /// Share of the slots that is used, where a target has more than a few: many slow down when nearly full,
+    /// so that the last slots cost throughput.
     double used_share = 0.8;
     std::int64_t few_slots = 3;
+    /// A place at a target that takes this many times as long as the best one is no place: a silent target
+    /// would look free for good.
+    double good_factor = 2.5;
     /// Failures are forgiven at this rate, so that a target that recovered is tried again.
     std::chrono::milliseconds failure_half_life{3000};
     /// Weight of the newest outcome in a target's failure rate.
@@ -48,8 +51,8 @@
     double cold_factor = 2.0;
     /// Latency that an answer from another zone may cost more.
     std::chrono::microseconds foreign_zone_cost{5000};
-    /// Targets whose expected times differ by less than this share are drawn from at random, so that instances
-    /// with the same knowledge do not all choose the same target.
+    /// Targets whose expected times differ by less than this share are drawn from at random, so that
+    /// instances with the same knowledge do not all choose the same target.
     double tie_share = 0.1;
 };
 
@@ -69,7 +72,9 @@
 struct target_choice {
     std::string id;
     endpoint address;
-    double expected_ms = 0;
+    double expected_ms = 0; ///< Until the answer, with what failures cost.
+    double free_places = 0; ///< Requests that it can take now without being nearly full.
+    std::int64_t slots = 1;
     double slowdown = 1.0;
     std::int64_t report_age_ms = -1; ///< -1: no report.
     std::uint32_t in_flight = 0;     ///< Of this instance.
@@ -95,7 +100,8 @@
 
     void start(std::string const& id);
     /// `latency` is looked at when the request was answered.
-    void finish(std::string const& id, board_outcome outcome, std::chrono::nanoseconds latency, time_point now);
+    void finish(std::string const& id, board_outcome outcome, std::chrono::nanoseconds latency,
+                time_point now);
     /// Another instance tells how many requests it has at the target now, and how many failed there.
     void peer_load(std::uint64_t peer, std::string const& id, std::uint32_t in_flight, std::uint32_t failures,
                    time_point now);
@@ -111,14 +117,13 @@
     /// A status check brought no answer; what the last report said counts as old.
     void check_failed(std::string const& id, time_point now);
     /// The targets of the pool that a check may show to be the best, with a report older than `fresh`.
-    [[nodiscard]] std::vector<target_choice> worth_checking(std::string_view pool,
-                                                            std::span<std::string const> excluded, std::size_t count,
-                                                            std::chrono::milliseconds fresh, time_point now,
-                                                            random_source& random) const;
+    [[nodiscard]] std::vector<target_choice>
+    worth_checking(std::string_view pool, std::span<std::string const> excluded, std::size_t count,
+                   std::chrono::milliseconds fresh, time_point now, random_source& random) const;
 
     /// The usual time of a request of the pool at the usual speed; zero while nothing is known.
     [[nodiscard]] std::chrono::nanoseconds usual_work(std::string_view pool) const;
-    /// Requests that the pool's targets can take now without being nearly full.
+    /// Requests that the pool's good targets can take now without being nearly full.
     [[nodiscard]] double free_places(std::string_view pool, time_point now) const;
     /// This instance's requests at the pool.
     [[nodiscard]] std::uint32_t pool_in_flight(std::string_view pool) const;
@@ -152,9 +157,12 @@
         double mean_slowdown = 1.5;
     };
 
-    [[nodiscard]] std::vector<target_choice> assess_all(pool_state const& pool, std::span<std::string const> excluded,
-                                                        time_point now) const;
-    [[nodiscard]] target_choice assess(target_state const& state, pool_state const& pool, time_point now) const;
+    [[nodiscard]] std::vector<target_choice>
+    assess_all(pool_state const& pool, std::span<std::string const> excluded, time_point now) const;
+    /// Keeps the choices whose places count.
+    void keep_good_places(std::vector<target_choice>& choices) const;
+    [[nodiscard]] target_choice assess(target_state const& state, pool_state const& pool,
+                                       time_point now) const;
     [[nodiscard]] double failure_rate(target_state const& state, time_point now) const;
     [[nodiscard]] double other_requests(target_state const& state, time_point now) const;
     [[nodiscard]] double peers_in_flight(target_state const& state, time_point now) const;
--- a/Libraries/Coordination/coordination/target_list.cpp
+++ b/Libraries/Coordination/coordination/target_list.cpp
@@ -10,8 +10,8 @@
     std::string text;
     for (auto const& target : targets) {
         // The rest of a warm-up shrinks with each reading; it is not news.
-        text += target.id + '\n' + target.pool + '\n' + to_string(target.address) + '\n' + target.zone + '\n' +
-                std::to_string(target.slots) + (target.leaving ? "L" : "R") +
+        text += target.id + '\n' + target.pool + '\n' + to_string(target.address) + '\n' + target.zone +
+                '\n' + std::to_string(target.slots) + (target.leaving ? "L" : "R") +
                 std::to_string(target.born_unix_ms) + '\n';
     }
     return XXH3_64bits(text.data(), text.size());
--- a/Libraries/Coordination/coordination/target_list.hpp
+++ b/Libraries/Coordination/coordination/target_list.hpp
@@ -45,7 +45,8 @@
     explicit target_list(target_list_limits limits = {}) : m_limits(limits) {}
 
     /// A reading of the platform that was made at `read_at`. Entries that it lacks are kept for a while when
-    /// an outage came before it, since they lapse while the platform is away. Returns whether the list changed.
+    /// an outage came before it, since they lapse while the platform is away. Returns whether the list
+    /// changed.
     bool apply_reading(target_reading reading, time_point read_at);
     /// What a peer believes; it has dealt with outages itself. Returns whether the list changed.
     bool apply_shared(target_reading reading, time_point read_at);
--- a/Libraries/Gateway/gateway/caller_server.cpp
+++ b/Libraries/Gateway/gateway/caller_server.cpp
@@ -227,7 +227,8 @@
         bool const last = !entry->keep_alive;
         m_pending.push_back(entry);
         ++m_server.m_in_progress;
-        m_server.m_thread.spawn([self = shared_from_this(), entry, received] { self->process(*entry, received); });
+        m_server.m_thread.spawn(
+            [self = shared_from_this(), entry, received] { self->process(*entry, received); });
         return !last;
     }
 
--- a/Libraries/Gateway/gateway/fleet_messages.cpp
+++ b/Libraries/Gateway/gateway/fleet_messages.cpp
@@ -9,8 +9,8 @@
 
 template<class Archive>
 void serialize(Archive& archive, listed_target& value) {
-    archive(value.id, value.pool, value.address, value.zone, value.slots, value.leaving, value.warm_up_left_ms,
-            value.born_unix_ms);
+    archive(value.id, value.pool, value.address, value.zone, value.slots, value.leaving,
+            value.warm_up_left_ms, value.born_unix_ms);
 }
 
 template<class Archive>
@@ -20,8 +20,8 @@
 
 template<class Archive>
 void serialize(Archive& archive, load_news& value) {
-    archive(value.target_hash, value.in_flight, value.running, value.waiting, value.slowdown_percent, value.age_ms,
-            value.failures);
+    archive(value.target_hash, value.in_flight, value.running, value.waiting, value.slowdown_percent,
+            value.age_ms, value.failures);
 }
 
 template<class Archive>
@@ -44,9 +44,9 @@
 
 template<class Archive>
 void serialize(Archive& archive, route_row& value) {
-    archive(value.name, value.host, value.path_prefix, value.methods, value.pool, value.idempotent, value.deadline,
-            value.hedge, value.customer_concurrency, value.split, value.target_latency, value.priority,
-            value.max_attempts);
+    archive(value.name, value.host, value.path_prefix, value.methods, value.pool, value.idempotent,
+            value.deadline, value.hedge, value.customer_concurrency, value.split, value.target_latency,
+            value.priority, value.max_attempts);
 }
 
 template<class Archive>
--- a/Libraries/Gateway/gateway/fleet_messages.hpp
+++ b/Libraries/Gateway/gateway/fleet_messages.hpp
@@ -17,8 +17,8 @@
 struct list_note {
     std::uint64_t version = 0; ///< 0: the sender knows no list.
     std::uint64_t digest = 0;
-    std::uint32_t age_ms = 0;       ///< Since the platform was read.
-    std::uint64_t base_digest = 0;  ///< What `changed` and `removed` apply to; 0: they are not sent.
+    std::uint32_t age_ms = 0;      ///< Since the platform was read.
+    std::uint64_t base_digest = 0; ///< What `changed` and `removed` apply to; 0: they are not sent.
     std::vector<listed_target> changed;
     std::vector<std::string> removed;
 };
--- a/Libraries/Gateway/gateway/fleet_sync.cpp
+++ b/Libraries/Gateway/gateway/fleet_sync.cpp
@@ -221,9 +221,10 @@
 void fleet_sync::adopt_targets(std::string_view source) {
     auto const& current = m_list.current();
     m_state.board.set_targets(current.targets, clock::now());
-    m_target_client.drop_unless([&](std::string const& id) {
+    m_target_client.drop_unless([&](std::string const& id, endpoint const& address) {
         auto const found = std::ranges::lower_bound(current.targets, id, {}, &listed_target::id);
-        return found != current.targets.end() && found->id == id && !found->leaving;
+        return found != current.targets.end() && found->id == id && found->address == address &&
+               !found->leaving;
     });
     auto const leaving = std::ranges::count_if(current.targets, &listed_target::leaving);
     log_line(log_level::info, "targets_applied")
@@ -290,7 +291,9 @@
             auto const entries = m_store.instances().read();
             m_members.merge_list(entries, clock::now());
             announced = true;
-            log_line(log_level::info, "members_read").field("members", static_cast<std::uint64_t>(entries.size())).write();
+            log_line(log_level::info, "members_read")
+                .field("members", static_cast<std::uint64_t>(entries.size()))
+                .write();
             // News of this instance to all at once; gossip keeps it up.
             fleet_datagram const hello{.has_members = true,
                                        .members = m_members.compose(0, thread_random()),
@@ -353,7 +356,9 @@
 void fleet_sync::send(fleet_datagram const& message, endpoint const& to) {
     auto const bytes = encode_datagram(message);
     if (bytes.size() > max_datagram) {
-        log_line(log_level::warning, "datagram_too_long").field("bytes", static_cast<std::uint64_t>(bytes.size())).write();
+        log_line(log_level::warning, "datagram_too_long")
+            .field("bytes", static_cast<std::uint64_t>(bytes.size()))
+            .write();
         return;
     }
     auto const remote = to_tcp(to);
@@ -432,7 +437,10 @@
         }
         answered = true;
     } catch (error const& failure) {
-        log_line(log_level::info, "snapshot_failed").field("peer", to_string(peer)).field("reason", failure.what()).write();
+        log_line(log_level::info, "snapshot_failed")
+            .field("peer", to_string(peer))
+            .field("reason", failure.what())
+            .write();
     }
     m_fetching = false;
     return answered;
@@ -443,10 +451,10 @@
         return make_response(404, "text/plain", "");
     }
     fleet_knowledge snapshot{.routes = m_state.routes.load()->content(),
-                            .targets_version = m_list.current().version,
-                            .targets_age_ms = age_ms(m_list.read_at(), clock::now()),
-                            .targets = m_list.current().targets,
-                            .members = {}};
+                             .targets_version = m_list.current().version,
+                             .targets_age_ms = age_ms(m_list.read_at(), clock::now()),
+                             .targets = m_list.current().targets,
+                             .members = {}};
     for (auto const& member : m_members.view()) {
         snapshot.members.push_back(member.entry);
     }
@@ -461,7 +469,8 @@
         }
     }
     auto const routes = m_state.routes.load();
-    auto chosen = homes_of(routes->home_key(query.host), query.zone, candidates, m_state.settings.homes_per_zone);
+    auto chosen =
+        homes_of(routes->home_key(query.host), query.zone, candidates, m_state.settings.homes_per_zone);
     if (chosen.size() > max_addresses) {
         chosen.resize(max_addresses);
     }
@@ -470,10 +479,11 @@
 
 void fleet_sync::announce_leaving() {
     m_members.set_leaving();
-    fleet_datagram const message{.has_members = true,
-                                 .members = m_members.compose(m_state.routes.load()->content().version, thread_random()),
-                                 .has_targets = true,
-                                 .targets = current_note()};
+    fleet_datagram const message{
+        .has_members = true,
+        .members = m_members.compose(m_state.routes.load()->content().version, thread_random()),
+        .has_targets = true,
+        .targets = current_note()};
     for (auto const& member : m_members.view()) {
         if (member.entry.id != m_members.self().id) {
             send(message, member.entry.peer_address);
--- a/Libraries/Gateway/gateway/fleet_sync.hpp
+++ b/Libraries/Gateway/gateway/fleet_sync.hpp
@@ -1,5 +1,5 @@
-// Keeps an instance's knowledge of tables, targets and members: from the platform where it answers, from other
-// instances where they know more.
+// Keeps an instance's knowledge of tables, targets and members: from the platform where it answers, from
+// other instances where they know more.
 #pragma once
 
 #include "coordination/fleet_store.hpp"
--- a/Libraries/Gateway/gateway/forwarding_state.hpp
+++ b/Libraries/Gateway/gateway/forwarding_state.hpp
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "base/metrics.hpp"
-#include "coordination/ratio_budget.hpp"
 #include "coordination/load_changes.hpp"
+#include "coordination/ratio_budget.hpp"
 #include "coordination/target_board.hpp"
 #include "entry/account_keeper.hpp"
 #include "gateway/forwarding_dialect.hpp"
--- a/Libraries/Gateway/gateway/gateway.cpp
+++ b/Libraries/Gateway/gateway/gateway.cpp
@@ -16,8 +16,8 @@
 using std::chrono::milliseconds;
 
 constexpr auto stop_poll = milliseconds(20);
-/// Callers may use an address answer for three times its lifetime; new requests are taken for this share of the
-/// grace, and the rest is for those in progress.
+/// Callers may use an address answer for three times its lifetime; new requests are taken for this share of
+/// the grace, and the rest is for those in progress.
 constexpr double serving_share = 0.55;
 /// Left of the grace for writing the account and the exit.
 constexpr auto exit_reserve = milliseconds(600);
@@ -33,27 +33,30 @@
 
 } // namespace
 
-gateway::gateway(gateway_settings settings, forwarding_dialect const& dialect, store_factory const& make_store)
-    : m_thread("forwarding"), m_self(describe_self(settings)), m_state(std::move(settings), dialect, m_self.id),
+gateway::gateway(gateway_settings settings, forwarding_dialect const& dialect,
+                 store_factory const& make_store)
+    : m_thread("forwarding"), m_self(describe_self(settings)),
+      m_state(std::move(settings), dialect, m_self.id),
       m_targets(m_thread.io(), dialect, target_client_limits{}), m_dispatcher(m_thread, m_state, m_targets),
       m_store(make_store(m_thread.io(), m_state.settings)) {
     auto const& checked = m_state.settings;
     m_sync = std::make_unique<fleet_sync>(m_thread, m_state, m_targets, *m_store, m_self);
     m_callers = std::make_unique<caller_server>(
         m_thread, checked.callers,
-        caller_service{.handle = [this](http_request& request, caller_watch& watch,
-                                        steady_time received) { return m_dispatcher.handle(request, watch, received); },
-                       .may_overlap = [this](http_request const& request) { return m_dispatcher.may_overlap(request); },
-                       .limits = [this] { return m_state.routes.load()->content().limits; }});
+        caller_service{
+            .handle = [this](http_request& request, caller_watch& watch,
+                             steady_time received) { return m_dispatcher.handle(request, watch, received); },
+            .may_overlap = [this](http_request const& request) { return m_dispatcher.may_overlap(request); },
+            .limits = [this] { return m_state.routes.load()->content().limits; }});
     m_readiness = std::make_unique<http_server>(m_thread, checked.readiness, http_limits{},
                                                 [this](http_request&) { return answer_ready(); });
-    m_addresses = std::make_unique<http_server>(
-        m_thread, checked.addresses, http_limits{},
-        [this](http_request& request) { return answer_addresses(request); });
+    m_addresses =
+        std::make_unique<http_server>(m_thread, checked.addresses, http_limits{},
+                                      [this](http_request& request) { return answer_addresses(request); });
     if (checked.metrics) {
-        m_metrics = std::make_unique<http_server>(
-            m_thread, *checked.metrics, http_limits{},
-            [this](http_request& request) { return answer_operator(request); });
+        m_metrics =
+            std::make_unique<http_server>(m_thread, *checked.metrics, http_limits{},
+                                          [this](http_request& request) { return answer_operator(request); });
     }
 }
 
@@ -117,8 +120,9 @@
 
 void gateway::stop() {
     auto const kill_at = std::chrono::steady_clock::now() + m_state.settings.stop_grace;
-    auto const serve_until = std::chrono::steady_clock::now() +
-                             std::chrono::duration_cast<milliseconds>(m_state.settings.stop_grace * serving_share);
+    auto const serve_until =
+        std::chrono::steady_clock::now() +
+        std::chrono::duration_cast<milliseconds>(m_state.settings.stop_grace * serving_share);
     log_line(log_level::info, "stop_begun").write();
     m_thread.run_and_wait([&] {
         m_stopping = true;
@@ -153,11 +157,13 @@
 
 http_response gateway::answer_ready() const {
     bool const ready = m_sync->is_ready() && !m_stopping;
-    return make_response(ready ? 200 : 503, "application/json", ready ? "{\"ready\":true}\n" : "{\"ready\":false}\n");
+    return make_response(ready ? 200 : 503, "application/json",
+                         ready ? "{\"ready\":true}\n" : "{\"ready\":false}\n");
 }
 
 http_response gateway::answer_addresses(http_request const& request) const {
-    auto const query = m_state.dialect.parse_address_query({request.target().data(), request.target().size()});
+    auto const query =
+        m_state.dialect.parse_address_query({request.target().data(), request.target().size()});
     auto const addresses = m_sync->addresses_for(query);
     if (addresses.empty()) {
         return make_response(503, "application/json", "{\"error\":\"no instance can be handed out\"}\n");
@@ -172,7 +178,8 @@
     if (request.target() == "/status") {
         return make_response(200, "application/json", m_sync->status());
     }
-    return make_response(404, "application/json", "{\"error\":\"no such page\",\"allowed\":[\"/status\",\"/metrics\"]}\n");
+    return make_response(404, "application/json",
+                         "{\"error\":\"no such page\",\"allowed\":[\"/status\",\"/metrics\"]}\n");
 }
 
 } // namespace pomelospread
--- a/Libraries/Gateway/gateway/gateway.hpp
+++ b/Libraries/Gateway/gateway/gateway.hpp
@@ -18,7 +18,8 @@
 class gateway {
 public:
     /// Makes the platform's adapter on the instance's thread.
-    using store_factory = std::function<std::unique_ptr<fleet_store>(boost::asio::io_context&, gateway_settings const&)>;
+    using store_factory =
+        std::function<std::unique_ptr<fleet_store>(boost::asio::io_context&, gateway_settings const&)>;
 
     /// Throws `connect_failed` when an address cannot be bound.
     gateway(gateway_settings settings, forwarding_dialect const& dialect, store_factory const& make_store);
--- a/Libraries/Gateway/gateway/gateway_settings.cpp
+++ b/Libraries/Gateway/gateway/gateway_settings.cpp
@@ -8,7 +8,8 @@
 #include <cmath>
 #include <sstream>
 
-DEFINE_string(settings, "", "File of settings, one --NAME=VALUE a line; lines that begin with # are skipped.");
+DEFINE_string(settings, "",
+              "File of settings, one --NAME=VALUE a line; lines that begin with # are skipped.");
 DEFINE_string(callers, "127.0.0.1:8080", "Address for requests, IP-NUMBER:PORT.");
 DEFINE_string(readiness, "127.0.0.1:8083", "Address for readiness checks.");
 DEFINE_string(addresses, "127.0.0.1:8084", "Address for callers' questions which instances to use.");
@@ -16,13 +17,15 @@
 DEFINE_string(metrics, "", "Address for metrics and status; empty for none.");
 DEFINE_string(store, "127.0.0.1:8090", "Address of the platform's store.");
 DEFINE_string(own_zone, "zone-a", "Availability zone of this instance.");
-DEFINE_string(seeds, "", "Addresses of instances that may be up, separated by commas; their ports are not used.");
+DEFINE_string(seeds, "",
+              "Addresses of instances that may be up, separated by commas; their ports are not used.");
 DEFINE_string(verbosity, "info", "Lowest level that is logged: debug, info, warning, error.");
 DEFINE_double(drain_bound_s, 2.0, "A leaving target gets no new request after this, 0.5 to 60 s.");
 DEFINE_double(stop_grace_s, 6.0, "Time from the stop signal to the kill, 1 to 600 s.");
 DEFINE_double(address_keep_s, 2.0, "Callers may keep an address answer this long, 0.1 to 600 s.");
 DEFINE_double(extra_share, 0.2, "Extra tries for each request, over the whole fleet, 0 to 1.");
-DEFINE_double(extra_slack, 40, "Extra tries beyond that share in one window, over the whole fleet, 0 to 100000.");
+DEFINE_double(extra_slack, 40,
+              "Extra tries beyond that share in one window, over the whole fleet, 0 to 100000.");
 DEFINE_double(account_flush_s, 10, "Time between writes of the account, 0.1 to 600 s.");
 DEFINE_int64(homes_per_zone, 2, "Instances of a zone that callers of a pool are sent to, 1 to 1000.");
 DEFINE_double(checks_per_s, 30, "Status checks of one target, over the whole fleet, 0 to 10000 a second.");
@@ -63,7 +66,8 @@
         result.flush_interval = seconds("account_flush_s", FLAGS_account_flush_s, 0.1, 600);
         result.extra_share = number("extra_share", FLAGS_extra_share, 0, 1) * used_share_of_ratio;
         result.extra_burst = number("extra_slack", FLAGS_extra_slack, 0, 100000) * used_share_of_slack;
-        result.checks_per_second = number("checks_per_s", FLAGS_checks_per_s, 0, 10000) * used_share_of_checks;
+        result.checks_per_second =
+            number("checks_per_s", FLAGS_checks_per_s, 0, 10000) * used_share_of_checks;
         check_range(m_problems, "checked_candidates", FLAGS_checked_candidates, 0, 16);
         result.checked_candidates = static_cast<std::size_t>(FLAGS_checked_candidates);
         check_range(m_problems, "fresh_report_ms", FLAGS_fresh_report_ms, 0, 10000);
--- a/Libraries/Gateway/gateway/gateway_settings.hpp
+++ b/Libraries/Gateway/gateway/gateway_settings.hpp
@@ -29,11 +29,11 @@
     std::chrono::milliseconds stop_grace{6000};  ///< From the stop signal to the kill.
     std::chrono::milliseconds address_keep{2000};
     std::chrono::milliseconds flush_interval{10000};
-    double extra_share = 0.2; ///< Extra tries for each request, over the fleet.
-    double extra_burst = 20;  ///< Extra tries at once, over the fleet.
-    std::size_t homes_per_zone = 2; ///< Instances of a zone that a pool's callers are sent to.
-    double checks_per_second = 30; ///< Status checks of one target, over the fleet.
-    std::size_t checked_candidates = 3; ///< Targets that are checked before a choice; 0 for none.
+    double extra_share = 0.2;                   ///< Extra tries for each request, over the fleet.
+    double extra_burst = 20;                    ///< Extra tries at once, over the fleet.
+    std::size_t homes_per_zone = 2;             ///< Instances of a zone that a pool's callers are sent to.
+    double checks_per_second = 30;              ///< Status checks of one target, over the fleet.
+    std::size_t checked_candidates = 3;         ///< Targets that are checked before a choice; 0 for none.
     std::chrono::milliseconds fresh_report{25}; ///< A younger report is not asked for again.
     std::size_t journal_capacity = 20000;
 };
--- a/Libraries/Gateway/gateway/load_exchange.cpp
+++ b/Libraries/Gateway/gateway/load_exchange.cpp
@@ -30,7 +30,8 @@
             news.running = narrowed(change.report->running);
             news.waiting = narrowed(change.report->waiting);
             news.slowdown_percent = narrowed(std::max(1.0, std::round(change.report->slowdown * 100.0)));
-            news.age_ms = narrowed(std::chrono::duration<double, std::milli>(now - change.reported_at).count());
+            news.age_ms =
+                narrowed(std::chrono::duration<double, std::milli>(now - change.reported_at).count());
         }
         auto& told_all = m_told_all[*pool];
         bool const to_all = now - told_all >= tell_all_every;
--- a/Libraries/Gateway/gateway/load_exchange.hpp
+++ b/Libraries/Gateway/gateway/load_exchange.hpp
@@ -15,8 +15,8 @@
 
 namespace pomelospread {
 
-/// Belongs to the instance's thread. An instance shows its interest in a pool by its own news of it, so nobody
-/// is told of pools that it does not use; now and then everyone is told, so that interest is found.
+/// Belongs to the instance's thread. An instance shows its interest in a pool by its own news of it, so
+/// nobody is told of pools that it does not use; now and then everyone is told, so that interest is found.
 class load_exchange {
 public:
     using sender = std::function<void(fleet_datagram const&, endpoint const&)>;
@@ -40,8 +40,9 @@
 
     forwarding_state& m_state;
     sender m_send;
-    std::map<std::string, time_point> m_told_all;                  ///< By pool.
-    std::map<std::string, std::map<endpoint, time_point>> m_interest; ///< By pool: who told news of it, and when.
+    std::map<std::string, time_point> m_told_all; ///< By pool.
+    std::map<std::string, std::map<endpoint, time_point>>
+        m_interest; ///< By pool: who told news of it, and when.
 };
 
 } // namespace pomelospread
--- a/Libraries/Gateway/gateway/request_dispatcher.cpp
+++ b/Libraries/Gateway/gateway/request_dispatcher.cpp
@@ -59,8 +59,8 @@
     for (auto const& name : named) {
         message.erase(name);
     }
-    for (auto const* name : {"Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "TE", "Trailer",
-                             "Upgrade", "Expect"}) {
+    for (auto const* name : {"Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "TE",
+                             "Trailer", "Upgrade", "Expect"}) {
         message.erase(name);
     }
 }
@@ -126,7 +126,8 @@
         }
     }
     [[nodiscard]] std::size_t open() const {
-        return static_cast<std::size_t>(std::ranges::count_if(tries, [](auto const& each) { return !each->done; }));
+        return static_cast<std::size_t>(
+            std::ranges::count_if(tries, [](auto const& each) { return !each->done; }));
     }
     /// Targets that the request may have reached.
     [[nodiscard]] std::int64_t sent() const {
@@ -145,7 +146,8 @@
 
 http_response request_dispatcher::handle(http_request& request, caller_watch& watch, steady_time received) {
     m_state.counters.add(counter::requests);
-    context current{.request = request, .watch = watch, .received = received, .routes = m_state.routes.load()};
+    context current{
+        .request = request, .watch = watch, .received = received, .routes = m_state.routes.load()};
     current.id = std::string(field_of(request, m_state.dialect.request_id));
     try {
         return serve(current);
@@ -194,7 +196,8 @@
     for (auto const& part : route.split) {
         total += part.weight;
     }
-    auto draw = static_cast<std::int64_t>(thread_random()() % static_cast<std::uint64_t>(std::max<std::int64_t>(1, total)));
+    auto draw = static_cast<std::int64_t>(thread_random()() %
+                                          static_cast<std::uint64_t>(std::max<std::int64_t>(1, total)));
     for (auto const& part : route.split) {
         draw -= part.weight;
         if (draw < 0) {
@@ -352,7 +355,8 @@
 }
 
 void request_dispatcher::run_try(std::shared_ptr<race> tries, std::shared_ptr<try_state> state) {
-    state->report = m_targets.exchange(state->target, state->address, state->request, state->deadline, state->handle);
+    state->report =
+        m_targets.exchange(state->target, state->address, state->request, state->deadline, state->handle);
     state->done = true;
     learn(*state, state->report);
     tries->changed.notify_all();
@@ -377,8 +381,8 @@
     if (report.load) {
         m_state.board.report(state.target, *report.load, now);
     }
-    m_state.changes.note(state.target, report.load, outcome == board_outcome::failed || outcome == board_outcome::timed_out,
-                         now);
+    m_state.changes.note(state.target, report.load,
+                         outcome == board_outcome::failed || outcome == board_outcome::timed_out, now);
     if (report.wrong_target) {
         m_state.board.retire(state.target);
     }
@@ -455,7 +459,8 @@
                 return fail(request, now >= request.deadline ? 504 : 502, request.last_reason);
             }
             auto const left = std::chrono::duration<double, std::milli>(request.deadline - now).count();
-            auto const work = std::chrono::duration<double, std::milli>(m_state.board.usual_work(request.pool)).count();
+            auto const work =
+                std::chrono::duration<double, std::milli>(m_state.board.usual_work(request.pool)).count();
             bool const in_time = left > std::max(1.0, work * least_useful_share);
             bool const was_sent = tries->tries.back()->handle.is_sent();
             bool const allowed = tries->sent() < route.max_attempts && tries->tries.size() < 8;
@@ -515,10 +520,11 @@
 
 http_response request_dispatcher::fail(context& request, unsigned status, std::string_view reason) {
     request.last_reason = reason;
-    return finish(request,
-                  make_response(status, "application/json",
-                                "{\"error\":\"" + std::string(status == 404 ? "no_route" : "unknown") + "\"}\n"),
-                  status == 404 ? "not-run" : "unknown");
+    return finish(
+        request,
+        make_response(status, "application/json",
+                      "{\"error\":\"" + std::string(status == 404 ? "no_route" : "unknown") + "\"}\n"),
+        status == 404 ? "not-run" : "unknown");
 }
 
 http_response request_dispatcher::finish(context& request, http_response response, std::string_view outcome) {
--- a/Libraries/Gateway/gateway/status_checker.cpp
+++ b/Libraries/Gateway/gateway/status_checker.cpp
@@ -70,7 +70,10 @@
         m_state.changes.note(target.id, report.load, false, now);
     } else {
         m_state.board.check_failed(target.id, now);
-        log_line(log_level::info, "check_failed").field("target", target.id).field("reason", report.reason).write();
+        log_line(log_level::info, "check_failed")
+            .field("target", target.id)
+            .field("reason", report.reason)
+            .write();
     }
     m_running.erase(target.id);
     m_changed.notify_all();
--- a/Libraries/Gateway/gateway/status_checker.hpp
+++ b/Libraries/Gateway/gateway/status_checker.hpp
@@ -16,8 +16,8 @@
 
 namespace pomelospread {
 
-/// Belongs to one thread. A target's checks, summed over the instances that use its pool, stay under the agreed
-/// rate: each instance takes an equal part of it.
+/// Belongs to one thread. A target's checks, summed over the instances that use its pool, stay under the
+/// agreed rate: each instance takes an equal part of it.
 class status_checker {
 public:
     status_checker(io_thread& thread, forwarding_state& state, target_client& targets)
--- a/Libraries/Gateway/gateway/target_client.cpp
+++ b/Libraries/Gateway/gateway/target_client.cpp
@@ -65,13 +65,14 @@
     }
 }
 
-target_client::target_client(asio::io_context& io, forwarding_dialect const& dialect, target_client_limits limits)
+target_client::target_client(asio::io_context& io, forwarding_dialect const& dialect,
+                             target_client_limits limits)
     : m_io(io), m_dialect(dialect), m_limits(limits) {}
 
 target_client::~target_client() = default;
 
-std::shared_ptr<target_client::connection> target_client::take_idle(std::string const& target_id) {
-    auto const found = m_idle.find(target_id);
+std::shared_ptr<target_client::connection> target_client::take_idle(idle_key const& key) {
+    auto const found = m_idle.find(key);
     if (found == m_idle.end()) {
         return nullptr;
     }
@@ -90,12 +91,13 @@
                                         std::shared_ptr<http_request const> request, steady_time deadline,
                                         attempt& handle, exchange_kind kind) {
     boost::system::error_code error;
-    auto open = take_idle(target_id);
+    auto open = take_idle({target_id, address});
     bool const is_new = open == nullptr;
     if (is_new) {
         open = std::make_shared<connection>(m_io);
         handle.m_connection = open;
-        open->stream.expires_at(std::min(deadline, std::chrono::steady_clock::now() + m_limits.connect_timeout));
+        open->stream.expires_at(
+            std::min(deadline, std::chrono::steady_clock::now() + m_limits.connect_timeout));
         open->stream.async_connect(to_tcp(address), use_fiber(error));
         if (error || handle.m_cancelled) {
             handle.m_connection.reset();
@@ -125,7 +127,7 @@
         return report;
     }
     open->stream.expires_never();
-    auto& idle = m_idle[target_id];
+    auto& idle = m_idle[{target_id, address}];
     idle.push_back(std::move(open));
     while (idle.size() > m_limits.idle_per_target) {
         idle.pop_front();
@@ -133,8 +135,8 @@
     return report;
 }
 
-exchange_report target_client::read_answer(connection& open, http_request const& request,
-                                           exchange_kind kind, bool& reusable) {
+exchange_report target_client::read_answer(connection& open, http_request const& request, exchange_kind kind,
+                                           bool& reusable) {
     auto const request_id = field_of(request, m_dialect.request_id);
     for (int skipped = 0; skipped <= max_skipped_answers; ++skipped) {
         http::response_parser<http::string_body> parser;
@@ -144,7 +146,8 @@
         http::async_read(open.stream, open.buffer, parser, use_fiber(error));
         if (error) {
             return {.end = exchange_end::broken,
-                    .reason = error == beast::error::timeout ? "no answer in time" : "no whole answer: " + error.message()};
+                    .reason = error == beast::error::timeout ? "no answer in time"
+                                                             : "no whole answer: " + error.message()};
         }
         bool const ends_by_close = parser.need_eof();
         bool const keeps_open = parser.keep_alive() && !ends_by_close;
@@ -191,7 +194,8 @@
         report.response = std::move(response);
         return report;
     }
-    if (!is_own || field_of(response, m_dialect.signature).empty() || !field_of(response, "Content-Encoding").empty()) {
+    if (!is_own || field_of(response, m_dialect.signature).empty() ||
+        !field_of(response, "Content-Encoding").empty()) {
         report.reason = "an answer that is not the target's own, status " + std::to_string(status);
         return report;
     }
--- a/Libraries/Gateway/gateway/target_client.hpp
+++ b/Libraries/Gateway/gateway/target_client.hpp
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace pomelospread {
 
@@ -50,7 +51,8 @@
 /// Connections of one thread to targets.
 class target_client {
 public:
-    target_client(boost::asio::io_context& io, forwarding_dialect const& dialect, target_client_limits limits);
+    target_client(boost::asio::io_context& io, forwarding_dialect const& dialect,
+                  target_client_limits limits);
     ~target_client();
 
     class connection;
@@ -72,18 +74,22 @@
 
     /// Tries once. `request` is sent as it is; `deadline` ends the wait.
     exchange_report exchange(std::string const& target_id, endpoint const& address,
-                             std::shared_ptr<http_request const> request, steady_time deadline, attempt& handle,
-                             exchange_kind kind = exchange_kind::request);
+                             std::shared_ptr<http_request const> request, steady_time deadline,
+                             attempt& handle, exchange_kind kind = exchange_kind::request);
 
-    /// Closes idle connections of targets for which `keep` says no.
+    /// Closes idle connections of targets for which `keep(id, address)` says no.
     template<class Keep>
     void drop_unless(Keep keep) {
-        std::erase_if(m_idle, [&](auto const& entry) { return !keep(entry.first); });
+        std::erase_if(m_idle,
+                      [&](auto const& entry) { return !keep(entry.first.first, entry.first.second); });
     }
     void set_idle_per_target(std::size_t count) noexcept { m_limits.idle_per_target = count; }
 
 private:
-    [[nodiscard]] std::shared_ptr<connection> take_idle(std::string const& target_id);
+    /// A target may come back under its id at another address.
+    using idle_key = std::pair<std::string, endpoint>;
+
+    [[nodiscard]] std::shared_ptr<connection> take_idle(idle_key const& key);
     [[nodiscard]] exchange_report read_answer(connection& open, http_request const& request,
                                               exchange_kind kind, bool& reusable);
     [[nodiscard]] exchange_report judge(http_response response, bool is_own, exchange_kind kind) const;
@@ -91,7 +97,7 @@
     boost::asio::io_context& m_io;
     forwarding_dialect const& m_dialect;
     target_client_limits m_limits;
-    std::map<std::string, std::deque<std::shared_ptr<connection>>> m_idle;
+    std::map<idle_key, std::deque<std::shared_ptr<connection>>> m_idle;
 };
 
 } // namespace pomelospread
--- a/Libraries/State/state/route_index.hpp
+++ b/Libraries/State/state/route_index.hpp
@@ -23,8 +23,8 @@
     /// The route of the host with the longest prefix that begins the path, or nullptr.
     [[nodiscard]] route_row const* find(std::string_view host, std::string_view path) const;
 
-    /// What decides where callers of a host are sent: the pool of its most urgent route, so that the requests of
-    /// a pool meet at the same instances; the host itself when no route names it.
+    /// What decides where callers of a host are sent: the pool of its most urgent route, so that the requests
+    /// of a pool meet at the same instances; the host itself when no route names it.
     [[nodiscard]] std::string home_key(std::string_view host) const;
 
 private:
--- a/Libraries/State/state/tables.hpp
+++ b/Libraries/State/state/tables.hpp
@@ -29,9 +29,9 @@
     std::string pool;
     bool idempotent = false; ///< RFC 9110 section 9.2.2; decides retries, hedges and claims.
     std::chrono::milliseconds deadline{2000};
-    bool hedge = true;                      ///< Only looked at when `idempotent`.
-    std::int64_t customer_concurrency = 64; ///< Requests of one customer in progress at one instance.
-    std::vector<pool_share> split;          ///< Instead of `pool`, when not empty.
+    bool hedge = true;                             ///< Only looked at when `idempotent`.
+    std::int64_t customer_concurrency = 64;        ///< Requests of one customer in progress at one instance.
+    std::vector<pool_share> split;                 ///< Instead of `pool`, when not empty.
     std::chrono::milliseconds target_latency{500}; ///< An answer within it is in time.
     std::int64_t priority = 0;                     ///< 0 is the most urgent.
     std::int64_t max_attempts = 2;                 ///< Targets that one request may be sent to.
--- a/Programs/pomelospread/main.cpp
+++ b/Programs/pomelospread/main.cpp
@@ -82,7 +82,8 @@
                             }) > 0;
     bool const forward = !arguments.empty() && std::string_view(arguments.front()) == "forward";
     try {
-        return forward ? run_forward(std::span(arguments).subspan(1), check_only) : run(arguments, check_only);
+        return forward ? run_forward(std::span(arguments).subspan(1), check_only)
+                       : run(arguments, check_only);
     } catch (invalid_input const& failure) {
         std::cerr << "pomelospread: " << failure.what() << "\n";
         return static_cast<int>(exit_code::usage);
--- /dev/null
+++ b/Tests/Coordination/test_target_board.cpp
@@ -0,0 +1,192 @@
+#include "coordination/admission_queue.hpp"
+#include "coordination/pool_homes.hpp"
+#include "coordination/ratio_budget.hpp"
+#include "coordination/target_board.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <map>
+
+using namespace pomelospread;
+using namespace std::chrono_literals;
+
+namespace {
+
+listed_target target(std::string id, std::int64_t slots = 6) {
+    return {.id = std::move(id), .pool = "p", .address = {"127.0.0.1", 80}, .zone = "z", .slots = slots};
+}
+
+load_report const calm{.running = 0, .waiting = 0, .slots = 6, .slowdown = 1.0};
+load_report const slow{.running = 0, .waiting = 0, .slots = 6, .slowdown = 5.0};
+
+} // namespace
+
+TEST_GROUP(target_boards) {
+    random_source random{20261204};
+    target_board board{"z", board_policy{}};
+    target_board::time_point now{100s};
+
+    void list(std::vector<listed_target> const& targets) {
+        board.set_targets(targets, now);
+    }
+
+    std::map<std::string, int> draw(int count) {
+        std::map<std::string, int> seen;
+        for (int i = 0; i < count; ++i) {
+            ++seen[board.choose("p", {}, now, random)->id];
+        }
+        return seen;
+    }
+};
+
+TEST(target_boards, a_target_that_says_it_is_slow_is_passed_over_while_the_report_is_fresh) {
+    list({target("a"), target("b")});
+    board.report("a", slow, now);
+    board.report("b", calm, now);
+    LONGS_EQUAL(100, draw(100)["b"]);
+    now += 10s;
+    CHECK(draw(100)["a"] > 0);
+}
+
+TEST(target_boards, requests_of_other_instances_count_like_own_ones) {
+    list({target("a"), target("b")});
+    board.peer_load(7, "a", 6, 0, now);
+    LONGS_EQUAL(100, draw(100)["b"]);
+    board.peer_load(7, "a", 0, 0, now);
+    CHECK(draw(100)["a"] > 0);
+}
+
+TEST(target_boards, a_told_count_is_not_believed_for_ever) {
+    list({target("a", 2)});
+    board.peer_load(7, "a", 2, 0, now);
+    CHECK(board.free_places("p", now) < 1);
+    DOUBLES_EQUAL(2, board.free_places("p", now + 3s), 0.01);
+}
+
+TEST(target_boards, a_report_that_counts_requests_already_told_does_not_count_them_twice) {
+    list({target("a")});
+    board.start("a");
+    board.peer_load(7, "a", 1, 0, now);
+    board.report("a", {.running = 2, .waiting = 0, .slots = 6, .slowdown = 1.0}, now);
+    DOUBLES_EQUAL(2, board.free_places("p", now), 0.01); // four of six slots are used, less two requests
+}
+
+TEST(target_boards, a_silent_target_has_no_places_and_gets_nothing_beside_sound_ones) {
+    list({target("dark"), target("sound")});
+    DOUBLES_EQUAL(8, board.free_places("p", now), 0.01);
+    for (int i = 0; i < 3; ++i) {
+        board.start("dark");
+        board.finish("dark", board_outcome::timed_out, 1s, now);
+    }
+    DOUBLES_EQUAL(4, board.free_places("p", now), 0.01);
+    LONGS_EQUAL(100, draw(100)["sound"]);
+}
+
+TEST(target_boards, a_pool_in_which_all_fail_still_has_places) {
+    list({target("a"), target("b")});
+    for (auto const* id : {"a", "b"}) {
+        board.start(id);
+        board.finish(id, board_outcome::failed, 10ms, now);
+    }
+    DOUBLES_EQUAL(8, board.free_places("p", now), 0.01);
+    CHECK(board.choose("p", {}, now, random).has_value());
+}
+
+TEST(target_boards, a_leaving_or_retired_target_gets_nothing) {
+    auto leaving = target("a");
+    leaving.leaving = true;
+    list({leaving, target("b"), target("c")});
+    board.retire("b");
+    LONGS_EQUAL(50, draw(50)["c"]);
+    LONGS_EQUAL(1, board.usable("p"));
+}
+
+TEST(target_boards, another_life_under_the_same_id_starts_with_nothing_known) {
+    list({target("a")});
+    board.start("a");
+    board.retire("a");
+    auto again = target("a");
+    again.born_unix_ms = 7;
+    list({again});
+    LONGS_EQUAL(0, board.in_flight("a"));
+    CHECK(board.is_usable("a"));
+}
+
+TEST(target_boards, only_targets_without_a_fresh_report_are_worth_a_check) {
+    list({target("a"), target("b"), target("c"), target("d")});
+    LONGS_EQUAL(3, board.worth_checking("p", {}, 3, 25ms, now, random).size());
+    board.report("a", calm, now);
+    LONGS_EQUAL(0, board.worth_checking("p", {}, 3, 25ms, now, random).size());
+    board.report("a", slow, now);
+    LONGS_EQUAL(3, board.worth_checking("p", {}, 3, 25ms, now, random).size());
+}
+
+TEST_GROUP(admission_queues) {
+    admission_queue<int> queue;
+    admission_claim::time_point now{100s};
+
+    admission_claim claim(std::int64_t priority, std::chrono::milliseconds in_time) const {
+        return {.priority = priority, .latest_in_time = now + in_time, .latest_useful = now + 1s};
+    }
+};
+
+TEST(admission_queues, the_timely_go_before_the_late_and_the_urgent_before_others) {
+    queue.push(claim(0, -10ms), 1);
+    queue.push(claim(2, 100ms), 2);
+    queue.push(claim(1, 100ms), 3);
+    LONGS_EQUAL(3, *queue.pop(now));
+    LONGS_EQUAL(2, *queue.pop(now));
+    LONGS_EQUAL(1, *queue.pop(now));
+    CHECK_FALSE(queue.pop(now).has_value());
+}
+
+TEST(admission_queues, a_request_that_would_be_late_behind_others_is_refused_at_once) {
+    CHECK(queue.judge(claim(1, 100ms), {.place_every = 40ms}, now) == admission_answer::wait);
+    queue.push(claim(1, 100ms), 1);
+    queue.push(claim(1, 100ms), 2);
+    CHECK(queue.judge(claim(1, 100ms), {.place_every = 40ms}, now) == admission_answer::refuse);
+    // One that is more urgent passes them.
+    CHECK(queue.judge(claim(0, 100ms), {.place_every = 40ms}, now) == admission_answer::wait);
+}
+
+TEST(admission_queues, a_waiter_that_gave_up_is_not_given_a_place) {
+    queue.push(claim(0, 100ms), 1);
+    CHECK(queue.remove(1));
+    CHECK_FALSE(queue.remove(1));
+    CHECK_FALSE(queue.pop(now).has_value());
+}
+
+TEST_GROUP(homes){};
+
+TEST(homes, callers_of_a_zone_are_sent_to_few_of_its_instances_and_stay_when_another_goes) {
+    std::vector<home_candidate> all;
+    for (std::uint16_t i = 1; i <= 12; ++i) {
+        all.push_back({.address = {"10.0.0." + std::to_string(i), 80}, .zone = i % 2 == 0 ? "even" : "odd"});
+    }
+    auto const before = homes_of("pool", "even", all, 2);
+    LONGS_EQUAL(2, before.size());
+    for (auto const& home : before) {
+        CHECK(std::ranges::find(all, home, &home_candidate::address)->zone == "even");
+    }
+    std::erase_if(all, [&](auto const& each) { return each.address == before[0]; });
+    auto const after = homes_of("pool", "even", all, 2);
+    CHECK(std::ranges::find(after, before[1]) != after.end());
+}
+
+TEST(homes, a_zone_without_instances_is_served_by_the_others) {
+    std::vector<home_candidate> const all{{.address = {"10.0.0.1", 80}, .zone = "a"}};
+    LONGS_EQUAL(1, homes_of("pool", "b", all, 2).size());
+}
+
+TEST_GROUP(shared_budgets){};
+
+TEST(shared_budgets, a_smaller_burst_takes_saved_units_away_at_once) {
+    ratio_budget budget(1.0, 10.0);
+    for (int i = 0; i < 10; ++i) {
+        budget.earn();
+    }
+    budget.set_burst(2.0);
+    CHECK(budget.try_spend());
+    CHECK(budget.try_spend());
+    CHECK_FALSE(budget.try_spend());
+}
--- /dev/null
+++ b/Tests/Gateway/test_load_exchange.cpp
@@ -0,0 +1,78 @@
+#include "gateway/fleet_messages.hpp"
+#include "gateway/load_exchange.hpp"
+
+#include <CppUTest/TestHarness.h>
+#include <rapidcheck.h>
+
+#include <utility>
+
+using namespace pomelospread;
+
+namespace {
+
+member_view member(instance_id id, std::string const& ip, member_status status = member_status::alive) {
+    return {.entry = {.id = id, .zone = "z", .peer_address = {ip, 7000}}, .status = status};
+}
+
+} // namespace
+
+TEST_GROUP(load_exchanges) {
+    forwarding_dialect dialect;
+    forwarding_state state{gateway_settings{}, dialect, 1};
+    std::vector<std::pair<std::string, fleet_datagram>> sent;
+    load_exchange exchange{state, [this](fleet_datagram const& message, endpoint const& to) {
+                               sent.emplace_back(to.address, message);
+                           }};
+    std::vector<member_view> members{member(1, "10.0.0.1"), member(2, "10.0.0.2"), member(3, "10.0.0.3")};
+
+    void setup() override {
+        std::vector<listed_target> const targets{{.id = "a", .pool = "p", .zone = "z", .slots = 6}};
+        state.board.set_targets(targets, std::chrono::steady_clock::now());
+    }
+};
+
+TEST(load_exchanges, everyone_is_told_first_and_then_those_that_use_the_pool) {
+    state.changes.note("a");
+    exchange.tell(members, 1);
+    LONGS_EQUAL(2, sent.size());
+    sent.clear();
+    std::vector<load_news> const news{{.target_hash = target_hash("a"), .in_flight = 2}};
+    exchange.receive(news, {"10.0.0.3", 7000});
+    state.changes.note("a");
+    exchange.tell(members, 1);
+    LONGS_EQUAL(1, sent.size());
+    STRCMP_EQUAL("10.0.0.3", sent.front().first.c_str());
+}
+
+TEST(load_exchanges, what_a_peer_has_in_flight_takes_places) {
+    auto const now = std::chrono::steady_clock::now();
+    DOUBLES_EQUAL(4, state.board.free_places("p", now), 0.01);
+    std::vector<load_news> const news{{.target_hash = target_hash("a"), .in_flight = 3},
+                                      {.target_hash = 12345, .in_flight = 9}};
+    exchange.receive(news, {"10.0.0.3", 7000});
+    DOUBLES_EQUAL(1, state.board.free_places("p", now), 0.01);
+}
+
+TEST_GROUP(fleet_messages_codec){};
+
+TEST(fleet_messages_codec, messages_are_read_back_and_any_other_bytes_are_a_typed_error) {
+    fleet_datagram const message{
+        .has_targets = true,
+        .targets = {.version = 7, .digest = 8, .changed = {{.id = "a", .pool = "p"}}},
+        .loads = {{.target_hash = 5, .in_flight = 3, .slowdown_percent = 500}}};
+    auto const bytes = encode_datagram(message);
+    auto const seen = decode_datagram(bytes);
+    LONGS_EQUAL(7, seen.targets.version);
+    STRCMP_EQUAL("a", seen.targets.changed.front().id.c_str());
+    LONGS_EQUAL(500, seen.loads.front().slowdown_percent);
+    rc::check("arbitrary bytes", [&](std::string const& text, std::size_t cut) {
+        for (auto const& each : {text, bytes.substr(0, cut % bytes.size()) + text}) {
+            try {
+                static_cast<void>(decode_datagram(each));
+                static_cast<void>(decode_knowledge(each));
+            } catch (malformed_message const&) {
+                continue;
+            }
+        }
+    });
+}
