--- a/Libraries/Gateway/gateway/caller_server.cpp
+++ b/Libraries/Gateway/gateway/caller_server.cpp
@@ -162,7 +162,7 @@
         entry->request = reader.release();
         entry->keep_alive = entry->request.keep_alive();
         entry->head = entry->request.method() == http::verb::head;
-        return admit(std::move(entry), received);
+        return admit(entry, received);
     }
 
     /// Returns 0, or the status of the refusal that ends the connection.
@@ -212,7 +212,7 @@
     }
 
     /// Starts a request as soon as those before it allow. False when it is the connection's last.
-    bool admit(std::shared_ptr<pending> entry, steady_time received) {
+    bool admit(std::shared_ptr<pending> const& entry, steady_time received) {
         bool const overlaps = m_server.m_service.may_overlap(entry->request);
         while (!m_pending.empty() && (!overlaps || !m_all_overlap || m_pending.size() >= max_overlap)) {
             if (m_ended) {
--- a/Libraries/Gateway/gateway/gateway_settings.cpp
+++ b/Libraries/Gateway/gateway/gateway_settings.cpp
@@ -133,6 +133,7 @@
         }
     }
     std::vector<char*> arguments;
+    arguments.reserve(lines.size());
     for (auto& line : lines) {
         arguments.push_back(line.data());
     }
--- a/Libraries/Gateway/gateway/request_dispatcher.cpp
+++ b/Libraries/Gateway/gateway/request_dispatcher.cpp
@@ -354,7 +354,8 @@
     return true;
 }
 
-void request_dispatcher::run_try(std::shared_ptr<race> tries, std::shared_ptr<try_state> state) {
+void request_dispatcher::run_try(std::shared_ptr<race> const& tries,
+                                 std::shared_ptr<try_state> const& state) {
     state->report =
         m_targets.exchange(state->target, state->address, state->request, state->deadline, state->handle);
     state->done = true;
--- a/Libraries/Gateway/gateway/request_dispatcher.hpp
+++ b/Libraries/Gateway/gateway/request_dispatcher.hpp
@@ -45,7 +45,7 @@
     /// Asks likely targets how they are before one of them is chosen.
     void look_at_targets(context const& request, race const& tries);
     [[nodiscard]] bool start_try(context& request, race& tries, std::string_view purpose);
-    void run_try(std::shared_ptr<race> tries, std::shared_ptr<try_state> state);
+    void run_try(std::shared_ptr<race> const& tries, std::shared_ptr<try_state> const& state);
     void learn(try_state const& state, exchange_report const& report);
     [[nodiscard]] std::string choose_pool(route_row const& route) const;
     [[nodiscard]] steady_time hedge_time(context const& request) const;
--- a/Libraries/Gateway/gateway/status_checker.cpp
+++ b/Libraries/Gateway/gateway/status_checker.cpp
@@ -61,7 +61,7 @@
     set_field(*request, m_state.dialect.expected_target, target.id);
     target_client::attempt handle;
     m_state.counters.add(counter::status_checks);
-    auto const report = m_targets.exchange(target.id, target.address, std::move(request),
+    auto const report = m_targets.exchange(target.id, target.address, request,
                                            std::chrono::steady_clock::now() + check_timeout, handle,
                                            exchange_kind::status_check);
     auto const now = std::chrono::steady_clock::now();
--- a/Libraries/Gateway/gateway/target_client.cpp
+++ b/Libraries/Gateway/gateway/target_client.cpp
@@ -88,8 +88,8 @@
 }
 
 exchange_report target_client::exchange(std::string const& target_id, endpoint const& address,
-                                        std::shared_ptr<http_request const> request, steady_time deadline,
-                                        attempt& handle, exchange_kind kind) {
+                                        std::shared_ptr<http_request const> const& request,
+                                        steady_time deadline, attempt& handle, exchange_kind kind) {
     boost::system::error_code error;
     auto open = take_idle({target_id, address});
     bool const is_new = open == nullptr;
--- a/Libraries/Gateway/gateway/target_client.hpp
+++ b/Libraries/Gateway/gateway/target_client.hpp
@@ -74,7 +74,7 @@
 
     /// Tries once. `request` is sent as it is; `deadline` ends the wait.
     exchange_report exchange(std::string const& target_id, endpoint const& address,
-                             std::shared_ptr<http_request const> request, steady_time deadline,
+                             std::shared_ptr<http_request const> const& request, steady_time deadline,
                              attempt& handle, exchange_kind kind = exchange_kind::request);
 
     /// Closes idle connections of targets for which `keep(id, address)` says no.
