--- a/Libraries/Gateway/gateway/caller_server.cpp
+++ b/Libraries/Gateway/gateway/caller_server.cpp
@@ -226,7 +226,6 @@
         m_all_overlap = overlaps;
         bool const last = !entry->keep_alive;
         m_pending.push_back(entry);
-        ++m_server.m_in_progress;
         m_server.m_thread.spawn(
             [self = shared_from_this(), entry, received] { self->process(*entry, received); });
         return !last;
@@ -234,7 +233,6 @@
 
     void process(pending& entry, steady_time received) {
         entry.response = m_server.m_service.handle(entry.request, entry.watch, received);
-        --m_server.m_in_progress;
         entry.watch.clear_listener();
         write_ready();
         m_changed.notify_all();
--- a/Libraries/Gateway/gateway/caller_server.hpp
+++ b/Libraries/Gateway/gateway/caller_server.hpp
@@ -54,7 +54,6 @@
     void stop_listening();
 
     [[nodiscard]] std::size_t open_connections() const noexcept { return m_connections.size(); }
-    [[nodiscard]] std::size_t requests_in_progress() const noexcept { return m_in_progress; }
 
 private:
     class connection;
@@ -66,7 +65,6 @@
     caller_service m_service;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::set<std::shared_ptr<connection>> m_connections;
-    std::size_t m_in_progress = 0;
     bool m_draining = false;
     bool m_stopped = false;
 };
--- a/Libraries/Gateway/gateway/forwarding_dialect.hpp
+++ b/Libraries/Gateway/gateway/forwarding_dialect.hpp
@@ -28,7 +28,6 @@
     std::string signature = "Pomelospread-Answered-By"; ///< A target's mark on each of its own answers.
     std::string load = "Pomelospread-Load";
     std::string not_started{header::not_started};
-    std::string target_id = "Pomelospread-Target";
     std::string retry_after = "Retry-After";
     std::string ready_path = "/.pomelospread/ready";
     std::string addresses_path{"/.pomelospread/addresses"};
--- a/Libraries/Gateway/gateway/gateway.cpp
+++ b/Libraries/Gateway/gateway/gateway.cpp
@@ -22,6 +22,16 @@
 /// Left of the grace for writing the account and the exit.
 constexpr auto exit_reserve = milliseconds(600);
 
+std::string_view path_of(http_request const& request) {
+    std::string_view const target(request.target().data(), request.target().size());
+    return target.substr(0, target.find('?'));
+}
+
+http_response no_such_page(std::string_view allowed) {
+    return make_response(404, "application/json",
+                         "{\"error\":\"no such page\",\"allowed\":\"" + std::string(allowed) + "\"}\n");
+}
+
 instance_entry describe_self(gateway_settings const& settings) {
     return {.id = thread_random()() | 1U,
             .zone = settings.zone,
@@ -48,8 +58,9 @@
                              steady_time received) { return m_dispatcher.handle(request, watch, received); },
             .may_overlap = [this](http_request const& request) { return m_dispatcher.may_overlap(request); },
             .limits = [this] { return m_state.routes.load()->content().limits; }});
-    m_readiness = std::make_unique<http_server>(m_thread, checked.readiness, http_limits{},
-                                                [this](http_request&) { return answer_ready(); });
+    m_readiness =
+        std::make_unique<http_server>(m_thread, checked.readiness, http_limits{},
+                                      [this](http_request& request) { return answer_ready(request); });
     m_addresses =
         std::make_unique<http_server>(m_thread, checked.addresses, http_limits{},
                                       [this](http_request& request) { return answer_addresses(request); });
@@ -155,7 +166,10 @@
     }
 }
 
-http_response gateway::answer_ready() const {
+http_response gateway::answer_ready(http_request const& request) const {
+    if (path_of(request) != m_state.dialect.ready_path) {
+        return no_such_page(m_state.dialect.ready_path);
+    }
     bool const ready = m_sync->is_ready() && !m_stopping;
     return make_response(ready ? 200 : 503, "application/json",
                          ready ? "{\"ready\":true}\n" : "{\"ready\":false}\n");
@@ -178,8 +192,7 @@
     if (request.target() == "/status") {
         return make_response(200, "application/json", m_sync->status());
     }
-    return make_response(404, "application/json",
-                         "{\"error\":\"no such page\",\"allowed\":[\"/status\",\"/metrics\"]}\n");
+    return no_such_page("/status, /metrics");
 }
 
 } // namespace pomelospread
--- a/Libraries/Gateway/gateway/gateway.hpp
+++ b/Libraries/Gateway/gateway/gateway.hpp
@@ -33,7 +33,7 @@
     void stop();
     void reload(std::function<gateway_settings()> const& read_settings);
     void keep_account();
-    [[nodiscard]] http_response answer_ready() const;
+    [[nodiscard]] http_response answer_ready(http_request const& request) const;
     [[nodiscard]] http_response answer_addresses(http_request const& request) const;
     [[nodiscard]] http_response answer_operator(http_request const& request) const;
 
--- a/Libraries/Gateway/gateway/gateway_settings.cpp
+++ b/Libraries/Gateway/gateway/gateway_settings.cpp
@@ -20,7 +20,6 @@
 DEFINE_string(seeds, "",
               "Addresses of instances that may be up, separated by commas; their ports are not used.");
 DEFINE_string(verbosity, "info", "Lowest level that is logged: debug, info, warning, error.");
-DEFINE_double(drain_bound_s, 2.0, "A leaving target gets no new request after this, 0.5 to 60 s.");
 DEFINE_double(stop_grace_s, 6.0, "Time from the stop signal to the kill, 1 to 600 s.");
 DEFINE_double(address_keep_s, 2.0, "Callers may keep an address answer this long, 0.1 to 600 s.");
 DEFINE_double(extra_share, 0.2, "Extra tries for each request, over the whole fleet, 0 to 1.");
@@ -60,7 +59,6 @@
         result.settings_file = FLAGS_settings;
         read_seeds(result);
         collect([&] { result.level = parse_log_level(FLAGS_verbosity); });
-        result.drain_bound = seconds("drain_bound_s", FLAGS_drain_bound_s, 0.5, 60);
         result.stop_grace = seconds("stop_grace_s", FLAGS_stop_grace_s, 1, 600);
         result.address_keep = seconds("address_keep_s", FLAGS_address_keep_s, 0.1, 600);
         result.flush_interval = seconds("account_flush_s", FLAGS_account_flush_s, 0.1, 600);
--- a/Libraries/Gateway/gateway/gateway_settings.hpp
+++ b/Libraries/Gateway/gateway/gateway_settings.hpp
@@ -25,8 +25,7 @@
     std::vector<std::string> seeds; ///< IP numbers of instances that may be up.
     std::string settings_file;
     log_level level = log_level::info;
-    std::chrono::milliseconds drain_bound{2000}; ///< A leaving target gets nothing new after this.
-    std::chrono::milliseconds stop_grace{6000};  ///< From the stop signal to the kill.
+    std::chrono::milliseconds stop_grace{6000}; ///< From the stop signal to the kill.
     std::chrono::milliseconds address_keep{2000};
     std::chrono::milliseconds flush_interval{10000};
     double extra_share = 0.2;                   ///< Extra tries for each request, over the fleet.
--- a/Libraries/Gateway/gateway/request_dispatcher.cpp
+++ b/Libraries/Gateway/gateway/request_dispatcher.cpp
@@ -283,12 +283,6 @@
     }
 }
 
-void request_dispatcher::wake_waiting() {
-    for (auto const& [pool, admission] : m_admissions) {
-        wake_waiting(pool);
-    }
-}
-
 void request_dispatcher::look_at_targets(context const& request, race const& tries) {
     auto const now = std::chrono::steady_clock::now();
     auto const pool = std::ranges::find(request.routes->content().pools, request.pool, &pool_row::name);
--- a/Libraries/Gateway/gateway/request_dispatcher.hpp
+++ b/Libraries/Gateway/gateway/request_dispatcher.hpp
@@ -21,8 +21,6 @@
     request_dispatcher(io_thread& thread, forwarding_state& state, target_client& targets);
 
     [[nodiscard]] http_response handle(http_request& request, caller_watch& watch, steady_time received);
-    /// Places may have come free; gives them to requests that wait.
-    void wake_waiting();
     /// Whether the request's route is idempotent.
     [[nodiscard]] bool may_overlap(http_request const& request) const;
 
@@ -41,6 +39,7 @@
     [[nodiscard]] http_response run_tries(context& request);
     /// Waits for a place at the pool. False when the request is to be refused, or its caller left.
     [[nodiscard]] bool wait_for_place(context const& request);
+    /// Places may have come free; gives them to requests that wait.
     void wake_waiting(std::string const& pool);
     /// Asks likely targets how they are before one of them is chosen.
     void look_at_targets(context const& request, race const& tries);
--- a/Libraries/Gateway/gateway/target_client.cpp
+++ b/Libraries/Gateway/gateway/target_client.cpp
@@ -92,8 +92,7 @@
                                         steady_time deadline, attempt& handle, exchange_kind kind) {
     boost::system::error_code error;
     auto open = take_idle({target_id, address});
-    bool const is_new = open == nullptr;
-    if (is_new) {
+    if (open == nullptr) {
         open = std::make_shared<connection>(m_io);
         handle.m_connection = open;
         open->stream.expires_at(
@@ -102,8 +101,7 @@
         if (error || handle.m_cancelled) {
             handle.m_connection.reset();
             return {.end = exchange_end::not_sent,
-                    .reason = handle.m_cancelled ? "cancelled" : "no connection: " + error.message(),
-                    .new_connection = true};
+                    .reason = handle.m_cancelled ? "cancelled" : "no connection: " + error.message()};
         }
         configure_socket(open->stream.socket());
     }
@@ -120,7 +118,6 @@
                       });
     bool reusable = false;
     auto report = read_answer(*open, *request, kind, reusable);
-    report.new_connection = is_new;
     handle.m_connection.reset();
     if (!reusable || !open->write_done || handle.m_cancelled) {
         open->stream.close();
@@ -169,7 +166,6 @@
         open.usable_until = std::chrono::steady_clock::now() + idle_time;
         bool const is_own = request_id.empty() || !answered_id.empty();
         auto report = judge(std::move(response), is_own, kind);
-        report.leaving = !keeps_open;
         if (report.end == exchange_end::broken) {
             reusable = false;
         }
--- a/Libraries/Gateway/gateway/target_client.hpp
+++ b/Libraries/Gateway/gateway/target_client.hpp
@@ -35,8 +35,6 @@
     std::string reason;                    ///< For the log, unless answered.
     std::optional<load_report> load;
     bool wrong_target = false; ///< Another target has the address.
-    bool new_connection = false;
-    bool leaving = false; ///< The target closes its connection after this answer.
 };
 
 struct target_client_limits {
