Instance: End the platform client and control before the io_context that they use

The destructor freed the control thread's io_context before the platform client's idle connections and control's socket.

--- a/Libraries/Entry/entry/instance.cpp
+++ b/Libraries/Entry/entry/instance.cpp
@@ -79,6 +79,9 @@
     m_admin_server.reset();
     m_peer_server.reset();
     m_workers.clear();
+    // Both hold sockets and timers of the thread's io_context, which must outlive them.
+    m_control.reset();
+    m_platform_client.reset();
     m_control_thread.reset();
 }
 
