--- a/Tests/Processes/platform_stand_in.py
+++ b/Tests/Processes/platform_stand_in.py
@@ -65,6 +65,7 @@
         self.rows = {}
         self.version = 0
         self.down = False
+        self.oddity = {}  # Fields of a wrong type in every answer and row.
         self.calls = 0
         super().__init__()
 
@@ -85,7 +86,7 @@
             self.lock.notify_all()
 
     def of_table(self, table, after=0):
-        return [row for (name, _), row in sorted(self.rows.items()) if name == table and row["ver"] > after]
+        return [row | self.oddity for (name, _), row in sorted(self.rows.items()) if name == table and row["ver"] > after]
 
     def answer(self, verb, target, body):
         path, _, query = target.partition("?")
@@ -108,7 +109,7 @@
                 return (503, {}) if self.down else (200, {"rows": rows, "ver": self.version, "now_s": 1.0})
             if path.endswith("rows-get"):
                 return 200, {"rows": self.of_table(asked["table"]), "truncated": False, "ver": self.version,
-                             "now_s": 1.0}
+                             "now_s": 1.0} | self.oddity
             return 200, {}
 
     def serve(self, connection, stream):
--- a/Tests/Processes/test_forwarding.py
+++ b/Tests/Processes/test_forwarding.py
@@ -126,6 +126,7 @@
         for bad in (b"{", b'{"version":"r9"}', manifest(2, [route("read", "safe", "s")], ["s"])):
             self.store.put("op", "config", bad)
         self.store.put("servers", "i-forged", b"\xff not an entry")
+        self.store.oddity = {"truncated": "no", "removed": 7}
         time.sleep(1.5)
         self.assertEqual(self.node.call("/more/plain", "m")[0], 200)
         self.assertEqual(self.node.call("/read/plain", "m")[0], 404)
