Platform: Share one client, bound counts read from messages, and fuzz every decoder

Cause: the store client and the platform client each sorted failures of a call; an object's answer of any status but 404 was taken for the object; Cereal allocated what a forged count said (a datagram of some bytes could take gigabytes); an exception of another type than ours ended a loop's process. The store stand-in loses and delays answers and drops its history.

--- a/Libraries/Gateway/gateway/fleet_sync.cpp
+++ b/Libraries/Gateway/gateway/fleet_sync.cpp
@@ -116,7 +116,7 @@
             log_line(log_level::info, "tables_history_lost").field("reason", failure.what()).write();
             m_tables_read = false;
             boost::this_fiber::sleep_for(jittered(history_pause));
-        } catch (error const& failure) {
+        } catch (std::exception const& failure) {
             m_state.counters.add(counter::table_reads_failed);
             note_store(false, "tables", failure.what());
             boost::this_fiber::sleep_for(jittered(failures++ == 0 ? first_failure_pause : failure_pause));
@@ -194,7 +194,7 @@
                 }
             }
             tell_list(std::move(note));
-        } catch (error const& failure) {
+        } catch (std::exception const& failure) {
             m_list.note_failure(clock::now());
             m_state.counters.add(counter::table_reads_failed);
             note_store(false, "targets", failure.what());
@@ -304,7 +304,7 @@
                     send(hello, entry.peer_address);
                 }
             }
-        } catch (error const& failure) {
+        } catch (std::exception const& failure) {
             note_store(false, "members", failure.what());
             boost::this_fiber::sleep_for(jittered(announce_pause));
         }
@@ -385,7 +385,7 @@
         m_state.counters.add(counter::heartbeat_bytes_received, count);
         try {
             take(decode_datagram({buffer.data(), count}), sender.address().to_string());
-        } catch (malformed_message const& failure) {
+        } catch (std::exception const& failure) {
             m_state.counters.add(counter::datagrams_rejected);
             log_line(log_level::warning, "datagram_rejected").field("reason", failure.what()).write();
         }
@@ -436,7 +436,7 @@
             adopt_targets("peer");
         }
         answered = true;
-    } catch (error const& failure) {
+    } catch (std::exception const& failure) {
         log_line(log_level::info, "snapshot_failed")
             .field("peer", to_string(peer))
             .field("reason", failure.what())
@@ -492,7 +492,7 @@
     m_thread.spawn([this] {
         try {
             m_store.instances().withdraw(m_members.self().id);
-        } catch (error const& failure) {
+        } catch (std::exception const& failure) {
             log_line(log_level::warning, "withdraw_failed").field("reason", failure.what()).write();
         }
     });
--- a/Libraries/Protocol/protocol/cereal_codec.hpp
+++ b/Libraries/Protocol/protocol/cereal_codec.hpp
@@ -4,14 +4,80 @@
 #include "base/errors.hpp"
 #include "coordination/membership.hpp"
 
+#include <cereal/archives/adapters.hpp>
 #include <cereal/archives/portable_binary.hpp>
-#include <cereal/types/string.hpp>
-#include <cereal/types/vector.hpp>
 
+#include <cstdint>
 #include <sstream>
 #include <streambuf>
 #include <string>
 #include <string_view>
+#include <vector>
+
+namespace pomelospread::detail {
+
+/// The bytes of one message, without a copy.
+class message_buffer final : public std::streambuf {
+public:
+    explicit message_buffer(std::string_view bytes) {
+        auto* const begin = const_cast<char*>(bytes.data());
+        setg(begin, begin, begin + bytes.size());
+    }
+    [[nodiscard]] std::size_t left() const { return static_cast<std::size_t>(egptr() - gptr()); }
+};
+
+using input_archive = cereal::UserDataAdapter<message_buffer, cereal::PortableBinaryInputArchive>;
+
+/// Reads a count of things that take a byte or more each. Cereal's own containers allocate whatever the count
+/// says, so that a few forged bytes would take all memory.
+inline cereal::size_type read_count(cereal::PortableBinaryInputArchive& archive) {
+    cereal::size_type count = 0;
+    archive(cereal::make_size_tag(count));
+    if (count > cereal::get_user_data<message_buffer>(archive).left()) {
+        throw malformed_message("a count is larger than the message");
+    }
+    return count;
+}
+
+} // namespace pomelospread::detail
+
+namespace cereal {
+
+/// Any byte but 0 is true; a `bool` that holds another value would be undefined.
+inline void load(PortableBinaryInputArchive& archive, bool& value) {
+    std::uint8_t byte = 0;
+    archive(byte);
+    value = byte != 0;
+}
+
+inline void save(PortableBinaryOutputArchive& archive, std::string const& text) {
+    archive(make_size_tag(static_cast<size_type>(text.size())));
+    archive(binary_data(text.data(), text.size()));
+}
+
+inline void load(PortableBinaryInputArchive& archive, std::string& text) {
+    text.resize(pomelospread::detail::read_count(archive));
+    archive(binary_data(text.data(), text.size()));
+}
+
+template<class Item>
+void save(PortableBinaryOutputArchive& archive, std::vector<Item> const& items) {
+    archive(make_size_tag(static_cast<size_type>(items.size())));
+    for (auto const& item : items) {
+        archive(item);
+    }
+}
+
+template<class Item>
+void load(PortableBinaryInputArchive& archive, std::vector<Item>& items) {
+    items.clear();
+    // No room is reserved: the count may still be larger than what follows.
+    for (auto left = pomelospread::detail::read_count(archive); left > 0; --left) {
+        archive(items.emplace_back());
+    }
+}
+
+} // namespace cereal
 
 namespace pomelospread {
 
@@ -38,16 +104,6 @@
 
 namespace detail {
 
-/// A vector's size is read before its elements; a forged size must not allocate more than was sent.
-class bounded_input final : public std::streambuf {
-public:
-    explicit bounded_input(std::string_view bytes) {
-        auto* const begin = const_cast<char*>(bytes.data());
-        setg(begin, begin, begin + bytes.size());
-    }
-    [[nodiscard]] bool is_consumed() const { return gptr() == egptr(); }
-};
-
 template<class Message>
 std::string encode_message(Message const& message) {
     std::ostringstream stream;
@@ -61,16 +117,16 @@
 /// Throws `malformed_message` when the bytes are not exactly one message.
 template<class Message>
 Message decode_message(std::string_view bytes) {
-    bounded_input buffer(bytes);
+    message_buffer buffer(bytes);
     std::istream stream(&buffer);
     Message message{};
     try {
-        cereal::PortableBinaryInputArchive archive(stream);
+        input_archive archive(buffer, stream);
         archive(message);
     } catch (std::exception const& failure) {
         throw malformed_message(failure.what());
     }
-    if (!buffer.is_consumed()) {
+    if (buffer.left() > 0) {
         throw malformed_message("bytes after the message");
     }
     return message;
--- a/Libraries/Protocol/protocol/http_server.cpp
+++ b/Libraries/Protocol/protocol/http_server.cpp
@@ -140,7 +140,15 @@
     } else {
         auto request = parser.release();
         keep_alive = request.keep_alive();
-        response = m_handle(request);
+        try {
+            response = m_handle(request);
+        } catch (std::exception const& failure) {
+            log_line(log_level::error, "handler_failed")
+                .field("target", std::string_view(request.target().data(), request.target().size()))
+                .field("reason", failure.what())
+                .write();
+            response = make_response(500, "application/json", "{\"error\":\"internal\"}\n");
+        }
         if (request.method() == http::verb::head) {
             response->body().clear();
         }
--- a/Libraries/Protocol/protocol/json_codec.cpp
+++ b/Libraries/Protocol/protocol/json_codec.cpp
@@ -6,6 +6,22 @@
 
 namespace pomelospread {
 
+namespace {
+
+/// A document of another shape is a typed error that names the field.
+template<class Value, class Read>
+Value read_fields(Read&& read) {
+    try {
+        return read();
+    } catch (nlohmann::json::exception const& failure) {
+        throw malformed_message(failure.what());
+    } catch (invalid_input const& failure) {
+        throw malformed_message(failure.what());
+    }
+}
+
+} // namespace
+
 nlohmann::json to_json(table_cell const& cell) {
     return {{"key", cell.key}, {"version", cell.version}, {"value", cell.value}};
 }
@@ -20,19 +36,25 @@
 }
 
 table_cell cell_from_json(nlohmann::json const& document) {
-    return {.key = document.at("key").get<std::string>(),
-            .version = document.at("version").get<std::uint64_t>(),
-            .value = document.at("value").get<std::string>()};
+    return read_fields<table_cell>([&] {
+        return table_cell{.key = document.at("key").get<std::string>(),
+                          .version = document.at("version").get<std::uint64_t>(),
+                          .value = document.at("value").get<std::string>()};
+    });
 }
 
 instance_entry entry_from_json(nlohmann::json const& document) {
-    return {.id = parse_instance(document.at("id").get<std::string>()),
-            .zone = document.at("zone").get<std::string>(),
-            .caller_address =
-                parse_endpoint(document.at("caller_address").get<std::string>(), "caller_address"),
-            .peer_address = parse_endpoint(document.at("peer_address").get<std::string>(), "peer_address"),
-            .admin_address = parse_endpoint(document.at("admin_address").get<std::string>(), "admin_address"),
-            .leaving = document.at("leaving").get<bool>()};
+    auto const address = [&](char const* name) {
+        return parse_endpoint(document.at(name).get<std::string>(), name);
+    };
+    return read_fields<instance_entry>([&] {
+        return instance_entry{.id = parse_instance(document.at("id").get<std::string>()),
+                              .zone = document.at("zone").get<std::string>(),
+                              .caller_address = address("caller_address"),
+                              .peer_address = address("peer_address"),
+                              .admin_address = address("admin_address"),
+                              .leaving = document.at("leaving").get<bool>()};
+    });
 }
 
 std::string format_instance(instance_id id) {
--- a/Libraries/Protocol/protocol/json_codec.hpp
+++ b/Libraries/Protocol/protocol/json_codec.hpp
@@ -10,7 +10,7 @@
 [[nodiscard]] nlohmann::json to_json(table_cell const& cell);
 [[nodiscard]] nlohmann::json to_json(instance_entry const& entry);
 
-/// Each throws `nlohmann::json::exception` or `invalid_input` for another form.
+/// Each throws `malformed_message` for another form.
 [[nodiscard]] table_cell cell_from_json(nlohmann::json const& document);
 [[nodiscard]] instance_entry entry_from_json(nlohmann::json const& document);
 
--- /dev/null
+++ b/Libraries/Protocol/protocol/platform_channel.hpp
@@ -0,0 +1,37 @@
+// HTTP calls to one service of the platform, with its failures sorted by whether the call can have run.
+#pragma once
+
+#include "coordination/platform.hpp"
+#include "protocol/http_connection.hpp"
+
+#include <chrono>
+#include <string>
+
+namespace pomelospread {
+
+struct platform_channel_limits {
+    std::chrono::milliseconds connect_timeout;
+    std::size_t max_answer_bytes;
+    std::size_t max_idle_connections;
+    std::chrono::milliseconds max_idle_time;
+};
+
+/// Belongs to one thread; calls suspend the calling fiber.
+class platform_channel {
+public:
+    platform_channel(boost::asio::io_context& io, endpoint address, platform_channel_limits limits);
+
+    /// Throws `platform_unavailable` when the call certainly did not run: no connection, or an answer of 429
+    /// or 503. Throws `platform_outcome_unknown` when no whole answer came within `timeout`.
+    http_response call(boost::beast::http::verb method, std::string const& target, std::string body,
+                       std::chrono::milliseconds timeout);
+    /// As `call`, for a read that may simply be repeated: any failure is `platform_unavailable`.
+    http_response read(std::string const& target, std::chrono::milliseconds timeout);
+
+private:
+    endpoint m_address;
+    platform_channel_limits m_limits;
+    connection_cache m_connections;
+};
+
+} // namespace pomelospread
--- a/Libraries/Protocol/protocol/platform_client.cpp
+++ b/Libraries/Protocol/protocol/platform_client.cpp
@@ -29,52 +29,21 @@
 
 platform_client::platform_client(boost::asio::io_context& io, endpoint address,
                                  std::chrono::milliseconds timeout)
-    : m_address(std::move(address)), m_timeout(timeout),
-      m_connections(io, max_idle_connections, max_idle_time), m_objects(*this) {}
-
-http_response platform_client::call(http::verb method, std::string const& target, std::string body) {
-    auto const deadline = std::chrono::steady_clock::now() + m_timeout;
-    http_request request(method, target, 11);
-    set_field(request, "Host", to_string(m_address));
-    request.body() = std::move(body);
-    request.prepare_payload();
-    try {
-        auto connection = m_connections.take_idle(m_address);
-        if (connection == nullptr) {
-            connection = m_connections.open(m_address, deadline);
-        }
-        auto response = connection->exchange(request, max_platform_body_bytes, deadline);
-        m_connections.give_back(m_address, std::move(connection));
-        if (response.result_int() == 503) {
-            throw platform_unavailable("the platform refused: it has an outage");
-        }
-        return response;
-    } catch (connect_failed const& failure) {
-        throw platform_unavailable(failure.what());
-    } catch (exchange_incomplete const& failure) {
-        m_connections.drop(m_address);
-        throw platform_outcome_unknown(failure.what());
-    } catch (deadline_exceeded const& failure) {
-        m_connections.drop(m_address);
-        throw platform_outcome_unknown(std::string("no answer from the platform in time: ") + failure.what());
-    }
-}
-
-http_response platform_client::read_call(std::string const& target) {
-    try {
-        return call(http::verb::get, target);
-    } catch (platform_outcome_unknown const& failure) {
-        throw platform_unavailable(failure.what());
-    }
-}
+    : m_channel(io, std::move(address),
+                {.connect_timeout = timeout,
+                 .max_answer_bytes = max_platform_body_bytes,
+                 .max_idle_connections = max_idle_connections,
+                 .max_idle_time = max_idle_time}),
+      m_timeout(timeout), m_objects(*this) {}
 
 table_cell platform_client::read(std::string_view key) {
-    return cell_from_json(parse_answer(read_call("/table/read?key=" + encode_query(key))));
+    return cell_from_json(parse_answer(m_channel.read("/table/read?key=" + encode_query(key), m_timeout)));
 }
 
 std::vector<table_cell> platform_client::list(std::string_view prefix) {
     std::vector<table_cell> cells;
-    for (auto const& document : parse_answer(read_call("/table/list?prefix=" + encode_query(prefix)))) {
+    for (auto const& document :
+         parse_answer(m_channel.read("/table/list?prefix=" + encode_query(prefix), m_timeout))) {
         cells.push_back(cell_from_json(document));
     }
     return cells;
@@ -89,7 +58,7 @@
     for (auto const& write : writes) {
         document["writes"].push_back({{"key", write.key}, {"value", write.value}});
     }
-    auto const response = call(http::verb::post, "/table/transact", document.dump());
+    auto const response = m_channel.call(http::verb::post, "/table/transact", document.dump(), m_timeout);
     if (response.result_int() == 409) {
         throw version_conflict(response.body());
     }
@@ -99,40 +68,50 @@
 }
 
 void platform_client::announce(instance_entry const& entry) {
-    call(http::verb::put, "/instances?id=" + format_instance(entry.id), to_json(entry).dump());
+    m_channel.call(http::verb::put, "/instances?id=" + format_instance(entry.id), to_json(entry).dump(),
+                   m_timeout);
 }
 
 void platform_client::withdraw(instance_id id) {
-    call(http::verb::delete_, "/instances?id=" + format_instance(id));
+    m_channel.call(http::verb::delete_, "/instances?id=" + format_instance(id), "", m_timeout);
 }
 
 std::vector<instance_entry> platform_client::read() {
     std::vector<instance_entry> entries;
-    for (auto const& document : parse_answer(read_call("/instances"))) {
+    for (auto const& document : parse_answer(m_channel.read("/instances", m_timeout))) {
         entries.push_back(entry_from_json(document));
     }
     return entries;
 }
 
 void platform_client::object_half::put(std::string_view name, std::string_view content) {
-    auto const response =
-        m_client.call(http::verb::put, "/objects?name=" + encode_query(name), std::string(content));
+    auto const response = m_client.m_channel.call(http::verb::put, "/objects?name=" + encode_query(name),
+                                                  std::string(content), m_client.m_timeout);
     if (response.result_int() != 200) {
         throw platform_unavailable("the object store refused: " + response.body());
     }
 }
 
 std::optional<std::string> platform_client::object_half::get(std::string_view name) {
-    auto response = m_client.read_call("/objects?name=" + encode_query(name));
+    auto response = m_client.m_channel.read("/objects?name=" + encode_query(name), m_client.m_timeout);
     if (response.result_int() == 404) {
         return std::nullopt;
     }
+    if (response.result_int() != 200) {
+        throw platform_unavailable("the object store answered " + std::to_string(response.result_int()));
+    }
     return std::move(response.body());
 }
 
 std::vector<std::string> platform_client::object_half::list(std::string_view prefix) {
-    auto const response = m_client.read_call("/objects/list?prefix=" + encode_query(prefix));
-    return parse_answer(response).get<std::vector<std::string>>();
+    auto const response =
+        m_client.m_channel.read("/objects/list?prefix=" + encode_query(prefix), m_client.m_timeout);
+    auto const names = parse_answer(response);
+    try {
+        return names.get<std::vector<std::string>>();
+    } catch (nlohmann::json::exception const& failure) {
+        throw malformed_message(failure.what());
+    }
 }
 
 std::string encode_query(std::string_view value) {
--- a/Libraries/Protocol/protocol/platform_client.hpp
+++ b/Libraries/Protocol/protocol/platform_client.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "coordination/platform.hpp"
-#include "protocol/http_connection.hpp"
+#include "protocol/platform_channel.hpp"
 
 #include <chrono>
 
@@ -35,14 +35,8 @@
         platform_client& m_client;
     };
 
-    /// Throws `platform_unavailable` when nothing can have taken effect, else `platform_outcome_unknown`.
-    http_response call(boost::beast::http::verb method, std::string const& target, std::string body = {});
-    /// As `call` for a read: any failure is `platform_unavailable`.
-    http_response read_call(std::string const& target);
-
-    endpoint m_address;
+    platform_channel m_channel;
     std::chrono::milliseconds m_timeout;
-    connection_cache m_connections;
     object_half m_objects;
 };
 
--- a/Libraries/Transport/transport/io_thread.cpp
+++ b/Libraries/Transport/transport/io_thread.cpp
@@ -1,5 +1,6 @@
 #include "transport/io_thread.hpp"
 
+#include "base/log.hpp"
 #include "transport/fiber_scheduler.hpp"
 
 #include <boost/fiber/operations.hpp>
@@ -48,7 +49,15 @@
 void io_thread::start_fiber(std::function<void()> work) {
     boost::fibers::fiber(boost::fibers::launch::post, std::allocator_arg, pooled_stack{},
                          [this, work = std::move(work)] {
-                             work();
+                             try {
+                                 work();
+                             } catch (std::exception const& failure) {
+                                 // One request or connection is lost, not the process with all others.
+                                 log_line(log_level::error, "fiber_failed")
+                                     .field("thread", m_name)
+                                     .field("reason", failure.what())
+                                     .write();
+                             }
                              m_live_fibers.fetch_sub(1);
                          })
         .detach();
--- /dev/null
+++ b/Tests/Fuzz/fuzz_decoder.cpp
@@ -0,0 +1,11 @@
+// The entry point of libFuzzer, built once for each decoder by Meta/fuzz.
+#include "decoders.hpp"
+
+#include <cstddef>
+#include <cstdint>
+
+extern "C" int LLVMFuzzerTestOneInput(std::uint8_t const* data, std::size_t size) {
+    static auto const& decoder = pomelospread::fuzzed_decoder_named(FUZZED_DECODER);
+    static_cast<void>(decoder.decode({reinterpret_cast<char const*>(data), size}));
+    return 0;
+}
--- a/Tests/Processes/platform_stand_in.py
+++ b/Tests/Processes/platform_stand_in.py
@@ -66,6 +66,10 @@
         self.version = 0
         self.down = False
         self.oddity = {}  # Fields of a wrong type in every answer and row.
+        self.lose = ""  # Answers to calls with this in their target are lost after the call ran.
+        self.late_s = 0  # Answers come this much later.
+        self.history_from = 0  # Feeds from before this version are answered 410.
+        self.feeds = 0
         self.calls = 0
         super().__init__()
 
@@ -102,7 +106,10 @@
                     self.remove(row["table"], row["key"])
                 return 200, {"ver": self.version, "now_s": 1.0}
             if path.endswith("rows-feed"):
+                self.feeds += 1
                 after = int(asked["after"])
+                if after < self.history_from:
+                    return 410, {}
                 self.lock.wait_for(lambda: self.down or self.of_table(asked["table"], after),
                                    int(asked["wait_ms"]) / 1000)
                 rows = self.of_table(asked["table"], after)
@@ -116,9 +123,18 @@
         while message := read_message(stream):
             (verb, target, _), _, body = message
             status, document = self.answer(verb, target, body)
+            if self.lose and self.lose in target:
+                return
+            time.sleep(self.late_s)
             text = json.dumps(document).encode()
             connection.sendall(b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n" % (status, len(text)) + text)
 
+    def drop_history(self):
+        """Forgets what happened so far: every wait for changes ends in 410."""
+        with self.lock:
+            self.version += 1
+            self.history_from = self.version
+
     def stop_answering(self):
         with self.lock:
             self.down = True
--- a/Tests/Processes/test_forwarding.py
+++ b/Tests/Processes/test_forwarding.py
@@ -140,6 +140,36 @@
         newborn.wait_ready(8)
         self.assertEqual(newborn.call("/read/plain", "o2")[0], 200)
 
+    def test_changes_are_in_force_while_answers_of_the_store_are_late(self):
+        self.store.late_s = 0.3
+        self.list_target(self.faulty, "s", "draining")
+        self.store.put("op", "config", manifest(5, [route("late", "safe", "s")], ["s"]))
+        self.until(lambda: self.node.call("/late/plain", "l")[0] == 200, 3)
+        self.until(lambda: not [at for _, at in self.faulty.seen if at > time.monotonic() - 1], 4)
+
+    def test_lost_answers_of_the_store_take_nothing_that_is_known(self):
+        self.store.lose = "rows-"
+        time.sleep(1.5)
+        # The announcement of a newborn runs although its answer is lost; it is repeated without harm.
+        newborn = self.start("127.0.0.12", seeds="127.0.0.11:1")
+        newborn.wait_ready(8)
+        for i in range(10):
+            self.assertEqual(self.node.call("/read/plain", f"k{i}")[0], 200)
+        self.store.lose = ""
+        self.until(lambda: self.node.log.read_text().count("store_regained") > 0, 4)
+        rows = self.store.of_table("members")
+        self.assertEqual(len({row["key"] for row in rows}), len(rows))
+        self.assertEqual(len(rows), 2)
+
+    def test_lost_history_is_read_anew_without_a_storm_of_calls(self):
+        self.store.drop_history()
+        before = self.store.feeds
+        self.store.put("op", "config", manifest(6, [route("anew", "safe", "s")], ["s"]))
+        self.until(lambda: self.node.call("/anew/plain", "h")[0] == 200, 2)
+        time.sleep(1.5)
+        self.assertLessEqual(self.store.feeds - before, 8)
+        self.assertEqual(self.node.call("/read/plain", "h2")[0], 404)
+
     def test_one_of_two_instances_reads_the_list(self):
         other = self.start("127.0.0.12")
         other.wait_ready()
