Choice: Compare targets without copies, and tell loads only to those that use a pool

Change: choices hold pointers; the set of good places is a predicate instead of a second list; a message to all is encoded once; an instance counts as a user of a pool after some rounds of news.

--- a/Libraries/Coordination/coordination/target_board.cpp
+++ b/Libraries/Coordination/coordination/target_board.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace pomelospread {
 
@@ -55,12 +56,12 @@
                 }
             }
         }
-        m_pools[listed.pool].members.push_back(listed.id);
         next.emplace(listed.id, std::move(state));
     }
     m_targets = std::move(next);
     m_by_hash.clear();
     for (auto const& [id, state] : m_targets) {
+        m_pools[state.listed.pool].members.push_back(&state);
         m_by_hash.emplace(target_hash(id), id);
     }
 }
@@ -91,30 +92,27 @@
     if (found == m_pools.end()) {
         return 0;
     }
-    auto choices = assess_all(found->second, {}, now);
-    keep_good_places(choices);
+    auto const choices = assess_all(found->second, {}, now);
+    if (choices.empty()) {
+        return 0;
+    }
+    auto const least = least_expected_ms(choices);
     double places = 0;
     for (auto const& each : choices) {
-        places += each.free_places;
+        places += has_good_place(each, least) ? each.free_places : 0;
     }
     return places;
 }
 
-void target_board::keep_good_places(std::vector<target_choice>& choices) const {
-    if (choices.empty()) {
-        return;
-    }
-    auto const least = std::ranges::min(choices, {}, &target_choice::expected_ms).expected_ms;
-    std::erase_if(choices, [&](auto const& each) {
-        return each.free_places < 1.0 || each.expected_ms > least * m_policy.good_factor;
-    });
+bool target_board::has_good_place(assessment const& value, double least_ms) const {
+    return value.free_places >= 1.0 && value.expected_ms <= least_ms * m_policy.good_factor;
 }
 
 std::uint32_t target_board::pool_in_flight(std::string_view pool) const {
     std::uint32_t sum = 0;
     if (auto const found = m_pools.find(pool); found != m_pools.end()) {
-        for (auto const& id : found->second.members) {
-            sum += m_targets.find(id)->second.in_flight;
+        for (auto const* target : found->second.members) {
+            sum += target->in_flight;
         }
     }
     return sum;
@@ -170,12 +168,12 @@
     return state.failure_rate * decayed(now - state.failure_at, m_policy.failure_half_life);
 }
 
-target_choice target_board::assess(target_state const& state, pool_state const& pool, time_point now) const {
+target_board::assessment target_board::assess(target_state const& state, pool_state const& pool,
+                                              time_point now) const {
     auto const usual = pool.work_ms > 0 ? pool.work_ms : unknown_work_ms;
     double slowdown = pool.mean_slowdown;
     double const others = other_requests(state, now);
-    target_choice choice{
-        .id = state.listed.id, .address = state.listed.address, .in_flight = state.in_flight};
+    assessment choice{.target = &state};
     if (state.reported_at) {
         auto const age = now - *state.reported_at;
         auto const weight = decayed(age, m_policy.slowdown_half_life);
@@ -202,26 +200,43 @@
     auto const used =
         state.listed.slots <= m_policy.few_slots ? slots : std::floor(slots * m_policy.used_share);
     choice.free_places = std::max(0.0, used - state.in_flight - std::round(others));
-    choice.slots = state.listed.slots;
     choice.slowdown = slowdown;
     choice.others = others;
     choice.failure_rate = failing;
     return choice;
 }
 
-std::vector<target_choice> target_board::assess_all(pool_state const& pool,
-                                                    std::span<std::string const> excluded,
-                                                    time_point now) const {
-    std::vector<target_choice> choices;
-    for (auto const& id : pool.members) {
-        auto const& state = m_targets.find(id)->second;
-        if (!state.retired && !state.listed.leaving && std::ranges::find(excluded, id) == excluded.end()) {
-            choices.push_back(assess(state, pool, now));
+std::vector<target_board::assessment> target_board::assess_all(pool_state const& pool,
+                                                               std::span<std::string const> excluded,
+                                                               time_point now) const {
+    std::vector<assessment> choices;
+    choices.reserve(pool.members.size());
+    for (auto const* target : pool.members) {
+        if (!target->retired && !target->listed.leaving &&
+            std::ranges::find(excluded, target->listed.id) == excluded.end()) {
+            choices.push_back(assess(*target, pool, now));
         }
     }
     return choices;
 }
 
+target_choice target_board::describe(assessment const& value) {
+    return {.id = value.target->listed.id,
+            .address = value.target->listed.address,
+            .expected_ms = value.expected_ms,
+            .free_places = value.free_places,
+            .slots = value.target->listed.slots,
+            .slowdown = value.slowdown,
+            .report_age_ms = value.report_age_ms,
+            .in_flight = value.target->in_flight,
+            .others = value.others,
+            .failure_rate = value.failure_rate};
+}
+
+double target_board::least_expected_ms(std::span<assessment const> choices) {
+    return std::ranges::min_element(choices, {}, &assessment::expected_ms)->expected_ms;
+}
+
 std::optional<target_choice> target_board::choose(std::string_view pool,
                                                   std::span<std::string const> excluded, time_point now,
                                                   random_source& random) const {
@@ -234,18 +249,19 @@
         return std::nullopt;
     }
     auto const candidates = choices.size();
-    if (auto with_places = choices; keep_good_places(with_places), !with_places.empty()) {
+    auto const least_of_all = least_expected_ms(choices);
+    auto const is_good = [&](auto const& each) { return has_good_place(each, least_of_all); };
+    if (std::ranges::any_of(choices, is_good)) {
         // Where slots are few, a short wait at a fast target is better than a free place at a slow one, and
         // the expected time tells; where they are many, the last ones slow all of the target's requests down.
         std::erase_if(choices, [&](auto const& each) {
-            return each.slots > m_policy.few_slots &&
-                   std::ranges::find(with_places, each.id, &target_choice::id) == with_places.end();
+            return each.target->listed.slots > m_policy.few_slots && !is_good(each);
         });
     }
-    auto const least = std::ranges::min(choices, {}, &target_choice::expected_ms).expected_ms;
+    auto const least = least_expected_ms(choices);
     std::erase_if(choices,
                   [&](auto const& each) { return each.expected_ms > least * (1.0 + m_policy.tie_share); });
-    auto chosen = choices[random() % choices.size()];
+    auto chosen = describe(choices[random() % choices.size()]);
     chosen.candidates = candidates;
     return chosen;
 }
@@ -259,19 +275,24 @@
         return {};
     }
     auto choices = assess_all(found->second, excluded, now);
-    std::ranges::shuffle(choices, random);
-    std::ranges::stable_sort(choices, {}, &target_choice::expected_ms);
+    if (choices.empty()) {
+        return {};
+    }
     auto const is_fresh = [&](auto const& each) {
         return each.report_age_ms >= 0 && each.report_age_ms < fresh.count();
     };
+    std::ranges::shuffle(choices, random);
+    auto const& best = *std::ranges::min_element(choices, {}, &assessment::expected_ms);
     // A fresh report that names no slowdown settles the choice.
-    if (!choices.empty() && is_fresh(choices.front()) &&
-        choices.front().slowdown <= std::max(1.2, found->second.mean_slowdown)) {
+    if (is_fresh(best) && best.slowdown <= std::max(1.2, found->second.mean_slowdown)) {
         return {};
     }
     std::erase_if(choices, is_fresh);
-    choices.resize(std::min(choices.size(), count));
-    return choices;
+    auto const end = choices.begin() + static_cast<std::ptrdiff_t>(std::min(choices.size(), count));
+    std::ranges::partial_sort(choices, end, {}, &assessment::expected_ms);
+    std::vector<target_choice> checked;
+    std::ranges::transform(choices.begin(), end, std::back_inserter(checked), describe);
+    return checked;
 }
 
 void target_board::check_failed(std::string const& id, time_point now) {
@@ -351,8 +372,9 @@
     if (found == m_pools.end()) {
         return 0;
     }
-    return static_cast<std::size_t>(
-        std::ranges::count_if(found->second.members, [&](auto const& id) { return is_usable(id); }));
+    return static_cast<std::size_t>(std::ranges::count_if(found->second.members, [](auto const* target) {
+        return !target->retired && !target->listed.leaving;
+    }));
 }
 
 bool target_board::is_usable(std::string const& id) const {
--- a/Libraries/Coordination/coordination/target_board.hpp
+++ b/Libraries/Coordination/coordination/target_board.hpp
@@ -151,18 +151,29 @@
         double failure_rate = 0;
         time_point failure_at{};
     };
+    /// What a choice compares; a `target_choice` without the copies that its log line needs.
+    struct assessment {
+        target_state const* target = nullptr;
+        double expected_ms = 0;
+        double free_places = 0;
+        double slowdown = 1.0;
+        double others = 0;
+        double failure_rate = 0;
+        std::int64_t report_age_ms = -1;
+    };
     struct pool_state {
-        std::vector<std::string> members;
+        std::vector<target_state const*> members; ///< Of `m_targets`, whose entries stay where they are.
         double work_ms = 0;
         double mean_slowdown = 1.5;
     };
 
-    [[nodiscard]] std::vector<target_choice>
+    [[nodiscard]] std::vector<assessment>
     assess_all(pool_state const& pool, std::span<std::string const> excluded, time_point now) const;
-    /// Keeps the choices whose places count.
-    void keep_good_places(std::vector<target_choice>& choices) const;
-    [[nodiscard]] target_choice assess(target_state const& state, pool_state const& pool,
-                                       time_point now) const;
+    /// Whether its places count, when the best of the pool takes `least_ms`.
+    [[nodiscard]] bool has_good_place(assessment const& value, double least_ms) const;
+    [[nodiscard]] static double least_expected_ms(std::span<assessment const> choices);
+    [[nodiscard]] assessment assess(target_state const& state, pool_state const& pool, time_point now) const;
+    [[nodiscard]] static target_choice describe(assessment const& value);
     [[nodiscard]] double failure_rate(target_state const& state, time_point now) const;
     [[nodiscard]] double other_requests(target_state const& state, time_point now) const;
     [[nodiscard]] double peers_in_flight(target_state const& state, time_point now) const;
--- a/Libraries/Gateway/gateway/fleet_sync.cpp
+++ b/Libraries/Gateway/gateway/fleet_sync.cpp
@@ -210,12 +210,7 @@
 }
 
 void fleet_sync::tell_list(list_note note) {
-    fleet_datagram const message{.has_targets = true, .targets = std::move(note)};
-    for (auto const& member : m_members.view()) {
-        if (member.entry.id != m_members.self().id) {
-            send(message, member.entry.peer_address);
-        }
-    }
+    send_to_all({.has_targets = true, .targets = std::move(note)});
 }
 
 void fleet_sync::adopt_targets(std::string_view source) {
@@ -354,7 +349,19 @@
 }
 
 void fleet_sync::send(fleet_datagram const& message, endpoint const& to) {
+    send_bytes(encode_datagram(message), to);
+}
+
+void fleet_sync::send_to_all(fleet_datagram const& message) {
     auto const bytes = encode_datagram(message);
+    for (auto const& member : m_members.view()) {
+        if (member.entry.id != m_members.self().id) {
+            send_bytes(bytes, member.entry.peer_address);
+        }
+    }
+}
+
+void fleet_sync::send_bytes(std::string const& bytes, endpoint const& to) {
     if (bytes.size() > max_datagram) {
         log_line(log_level::warning, "datagram_too_long")
             .field("bytes", static_cast<std::uint64_t>(bytes.size()))
@@ -479,16 +486,10 @@
 
 void fleet_sync::announce_leaving() {
     m_members.set_leaving();
-    fleet_datagram const message{
-        .has_members = true,
-        .members = m_members.compose(m_state.routes.load()->content().version, thread_random()),
-        .has_targets = true,
-        .targets = current_note()};
-    for (auto const& member : m_members.view()) {
-        if (member.entry.id != m_members.self().id) {
-            send(message, member.entry.peer_address);
-        }
-    }
+    send_to_all({.has_members = true,
+                 .members = m_members.compose(m_state.routes.load()->content().version, thread_random()),
+                 .has_targets = true,
+                 .targets = current_note()});
     m_thread.spawn([this] {
         try {
             m_store.instances().withdraw(m_members.self().id);
--- a/Libraries/Gateway/gateway/fleet_sync.hpp
+++ b/Libraries/Gateway/gateway/fleet_sync.hpp
@@ -55,6 +55,8 @@
     void adopt_targets(std::string_view source);
     void tell_list(list_note note);
     void send(fleet_datagram const& message, endpoint const& to);
+    void send_to_all(fleet_datagram const& message);
+    void send_bytes(std::string const& bytes, endpoint const& to);
     [[nodiscard]] list_note current_note() const;
     [[nodiscard]] http_response answer_peer(http_request const& request) const;
     [[nodiscard]] std::vector<instance_id> live_members() const;
--- a/Libraries/Gateway/gateway/load_exchange.cpp
+++ b/Libraries/Gateway/gateway/load_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace pomelospread {
 
@@ -15,9 +16,20 @@
 
 } // namespace
 
+double load_exchange::usage::present(time_point now) const {
+    auto const age = std::chrono::duration<double>(now - at) / std::chrono::duration<double>(usage_half_life);
+    return rounds * std::exp2(-std::max(0.0, age));
+}
+
+void load_exchange::usage::note(time_point now) {
+    rounds = present(now) + 1.0;
+    at = now;
+}
+
 void load_exchange::tell(std::span<member_view const> members, instance_id self) {
     auto const now = std::chrono::steady_clock::now();
     std::map<endpoint, fleet_datagram> messages;
+    std::map<std::string, bool> tells_all; // By the pools of this round.
     for (auto const& [id, change] : m_state.changes.take()) {
         auto const* pool = m_state.board.pool_of(id);
         if (pool == nullptr) {
@@ -33,16 +45,20 @@
             news.age_ms =
                 narrowed(std::chrono::duration<double, std::milli>(now - change.reported_at).count());
         }
-        auto& told_all = m_told_all[*pool];
-        bool const to_all = now - told_all >= tell_all_every;
-        if (to_all) {
-            told_all = now;
+        auto const [round, is_first] = tells_all.try_emplace(*pool, false);
+        if (is_first) {
+            auto& own = m_own_usage[*pool];
+            auto& told_all = m_told_all[*pool];
+            own.note(now);
+            round->second = own.present(now) >= least_usage && now - told_all >= tell_all_every;
+            told_all = round->second ? now : told_all;
         }
-        auto const& interested = m_interest[*pool];
+        auto const& users = m_peer_usage[*pool];
         for (auto const& member : members) {
             auto const& peer = member.entry.peer_address;
-            auto const heard = interested.find(peer);
-            bool const wanted = to_all || (heard != interested.end() && now - heard->second < interest_life);
+            auto const user = users.find(peer);
+            bool const wanted =
+                round->second || (user != users.end() && user->second.present(now) >= least_usage);
             if (member.entry.id != self && member.status != member_status::suspect && wanted) {
                 auto& loads = messages[peer].loads;
                 if (loads.size() < max_news_per_datagram) {
@@ -59,12 +75,16 @@
 void load_exchange::receive(std::span<load_news const> news, endpoint const& from) {
     auto const now = std::chrono::steady_clock::now();
     auto const peer = std::hash<std::string>()(from.address);
+    std::set<std::string_view> pools;
     for (auto const& each : news) {
         auto const* id = m_state.board.find_hash(each.target_hash);
         if (id == nullptr) {
             continue;
         }
-        m_interest[*m_state.board.pool_of(*id)][from] = now;
+        auto const& pool = *m_state.board.pool_of(*id);
+        if (pools.insert(pool).second) {
+            m_peer_usage[pool][from].note(now);
+        }
         m_state.board.peer_load(peer, *id, each.in_flight, each.failures, now);
         if (each.slowdown_percent > 0) {
             m_state.board.report(*id,
--- a/Libraries/Gateway/gateway/load_exchange.hpp
+++ b/Libraries/Gateway/gateway/load_exchange.hpp
@@ -15,8 +15,9 @@
 
 namespace pomelospread {
 
-/// Belongs to the instance's thread. An instance shows its interest in a pool by its own news of it, so
-/// nobody is told of pools that it does not use; now and then everyone is told, so that interest is found.
+/// Belongs to the instance's thread. An instance shows its use of a pool by its own news of it, so nobody is
+/// told of pools that it hardly uses; now and then one that uses a pool tells everyone, so that the others
+/// are found. The cost grows with the instances that use a pool, not with the fleet.
 class load_exchange {
 public:
     using sender = std::function<void(fleet_datagram const&, endpoint const&)>;
@@ -34,15 +35,26 @@
 private:
     using time_point = std::chrono::steady_clock::time_point;
 
+    /// How much an instance uses a pool: its rounds of news, each worth half as much after a half-life.
+    struct usage {
+        double rounds = 0;
+        time_point at;
+
+        [[nodiscard]] double present(time_point now) const;
+        void note(time_point now);
+    };
+
     static constexpr auto tell_all_every = std::chrono::seconds(1);
-    static constexpr auto interest_life = std::chrono::seconds(3);
+    static constexpr auto usage_half_life = std::chrono::seconds(1);
+    /// About two rounds a second: a request now and then changes nobody's choice.
+    static constexpr double least_usage = 2.5;
     static constexpr std::size_t max_news_per_datagram = 60;
 
     forwarding_state& m_state;
     sender m_send;
-    std::map<std::string, time_point> m_told_all; ///< By pool.
-    std::map<std::string, std::map<endpoint, time_point>>
-        m_interest; ///< By pool: who told news of it, and when.
+    std::map<std::string, time_point> m_told_all;                  ///< By pool.
+    std::map<std::string, usage> m_own_usage;                      ///< By pool.
+    std::map<std::string, std::map<endpoint, usage>> m_peer_usage; ///< By pool and instance.
 };
 
 } // namespace pomelospread
