--- a/Libraries/Base/base/metrics.hpp
+++ b/Libraries/Base/base/metrics.hpp
@@ -16,7 +16,7 @@
 
 namespace pomelospread {
 
-/// Every counter of the process. docs/OPERATING.md says what each means.
+/// Every counter of the process. docs/OPERATIONS.md says what each means.
 enum class counter : std::uint8_t {
     requests,
     outcome_ran,
