--- a/Libraries/Gateway/gateway/fleet_sync.cpp
+++ b/Libraries/Gateway/gateway/fleet_sync.cpp
@@ -4,19 +4,14 @@
 #include "base/random.hpp"
 #include "gateway/list_notes.hpp"
 #include "protocol/json_codec.hpp"
-#include "transport/listener.hpp"
-#include "transport/use_fiber.hpp"
 
 #include <boost/fiber/operations.hpp>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <array>
 
 namespace pomelospread {
 
-namespace asio = boost::asio;
-
 namespace {
 
 using std::chrono::milliseconds;
@@ -31,13 +26,11 @@
 constexpr auto first_failure_pause = milliseconds(250);
 /// A platform that drops its history goes on doing so for a while; meanwhile the tables are read whole.
 constexpr auto history_pause = milliseconds(500);
-constexpr auto poll_step = milliseconds(50);
 constexpr auto snapshot_timeout = milliseconds(800);
 constexpr auto announce_pause = milliseconds(1500);
 /// Before a list or tables are fetched from a peer: the platform's own answer or the other notes of a change
 /// are often on their way.
 constexpr auto fetch_pause = milliseconds(60);
-constexpr std::size_t max_datagram = 1400;
 constexpr std::size_t max_snapshot_bytes = std::size_t{16} * 1024 * 1024;
 constexpr std::size_t max_addresses = 64;
 constexpr char const* snapshot_path = "/snapshot";
@@ -56,23 +49,21 @@
 fleet_sync::fleet_sync(io_thread& thread, forwarding_state& state, target_client& targets, fleet_store& store,
                        instance_entry self)
     : m_thread(thread), m_state(state), m_target_client(targets), m_store(store),
-      m_members(std::move(self), membership_limits{}), m_socket(thread.io()),
+      m_members(std::move(self), membership_limits{}),
+      m_socket(thread.io(), state.settings.peers, state.counters),
       m_peer_server(thread, state.settings.peers, http_limits{},
                     [this](http_request& request) { return answer_peer(request); }),
       m_peer_connections(thread.io(), 1, std::chrono::seconds(5)), m_homes(state.settings.homes),
       m_loads(state, m_homes,
-              [this](fleet_datagram const& message, endpoint const& to) { send(message, to); }) {
-    auto const local = to_tcp(state.settings.peers);
-    m_socket.open(asio::ip::udp::v4());
-    m_socket.bind({local.address(), local.port()});
-    m_socket.non_blocking(true);
-}
+              [this](fleet_datagram const& message, endpoint const& to) { m_socket.send(message, to); }) {}
 
 fleet_sync::~fleet_sync() = default;
 
 void fleet_sync::start() {
     m_peer_server.start();
-    m_thread.spawn([this] { receive(); });
+    m_thread.spawn([this] {
+        m_socket.receive([this](auto const& message, auto const& sender) { take(message, sender); });
+    });
     m_thread.spawn([this] { follow_tables(); });
     m_thread.spawn([this] { follow_targets(); });
     m_thread.spawn([this] { follow_members(); });
@@ -272,7 +263,7 @@
                                        .targets = current_note()};
             for (auto const& entry : entries) {
                 if (entry.id != m_members.self().id) {
-                    send(hello, entry.peer_address);
+                    m_socket.send(hello, entry.peer_address);
                 }
             }
         } catch (std::exception const& failure) {
@@ -297,7 +288,7 @@
             .has_targets = true,
             .targets = current_note()};
         for (auto const& receiver : m_members.choose_receivers(thread_random())) {
-            send(message, receiver.peer_address);
+            m_socket.send(message, receiver.peer_address);
         }
         auto const view = m_members.view();
         m_homes.refresh(*m_state.routes.load(), view);
@@ -320,55 +311,14 @@
     }
 }
 
-void fleet_sync::send(fleet_datagram const& message, endpoint const& to) {
-    send_bytes(encode_datagram(message), to);
-}
-
 void fleet_sync::send_to_all(fleet_datagram const& message) {
-    auto const bytes = encode_datagram(message);
+    std::vector<endpoint> receivers;
     for (auto const& member : m_members.view()) {
         if (member.entry.id != m_members.self().id) {
-            send_bytes(bytes, member.entry.peer_address);
-        }
-    }
-}
-
-void fleet_sync::send_bytes(std::string const& bytes, endpoint const& to) {
-    if (bytes.size() > max_datagram) {
-        log_line(log_level::warning, "datagram_too_long")
-            .field("bytes", static_cast<std::uint64_t>(bytes.size()))
-            .write();
-        return;
-    }
-    auto const remote = to_tcp(to);
-    boost::system::error_code error;
-    m_socket.send_to(asio::buffer(bytes), {remote.address(), remote.port()}, 0, error);
-    m_state.counters.add(counter::heartbeats_sent);
-    m_state.counters.add(counter::heartbeat_bytes_sent, bytes.size());
-}
-
-void fleet_sync::receive() {
-    std::array<char, 2048> buffer{};
-    while (!m_stopping) {
-        boost::system::error_code error;
-        asio::ip::udp::endpoint sender;
-        auto const count = m_socket.async_receive_from(asio::buffer(buffer), sender, use_fiber(error));
-        if (m_stopping) {
-            return;
-        }
-        if (error) {
-            boost::this_fiber::sleep_for(poll_step);
-            continue;
-        }
-        m_state.counters.add(counter::heartbeats_received);
-        m_state.counters.add(counter::heartbeat_bytes_received, count);
-        try {
-            take(decode_datagram({buffer.data(), count}), sender.address().to_string());
-        } catch (std::exception const& failure) {
-            m_state.counters.add(counter::datagrams_rejected);
-            log_line(log_level::warning, "datagram_rejected").field("reason", failure.what()).write();
+            receivers.push_back(member.entry.peer_address);
         }
     }
+    m_socket.send_to_all(message, receivers);
 }
 
 void fleet_sync::take(fleet_datagram const& message, std::string const& sender_ip) {
@@ -479,8 +429,7 @@
 
 void fleet_sync::stop() {
     m_stopping = true;
-    boost::system::error_code ignored;
-    m_socket.close(ignored);
+    m_socket.close();
     m_peer_server.stop_listening();
 }
 
--- a/Libraries/Gateway/gateway/fleet_sync.hpp
+++ b/Libraries/Gateway/gateway/fleet_sync.hpp
@@ -7,6 +7,7 @@
 #include "coordination/read_schedule.hpp"
 #include "coordination/target_list.hpp"
 #include "gateway/fleet_messages.hpp"
+#include "gateway/fleet_socket.hpp"
 #include "gateway/forwarding_state.hpp"
 #include "gateway/load_exchange.hpp"
 #include "gateway/target_client.hpp"
@@ -14,8 +15,6 @@
 #include "protocol/http_server.hpp"
 #include "transport/io_thread.hpp"
 
-#include <boost/asio/ip/udp.hpp>
-
 #include <functional>
 #include <memory>
 #include <vector>
@@ -46,19 +45,16 @@
     void follow_members();
     void gossip();
     void tell_loads();
-    void receive();
     void take(fleet_datagram const& message, std::string const& sender_ip);
     void take_list_note(list_note const& note, endpoint const& sender);
-    /// Asks a peer for everything it knows. Returns whether it answered.
     /// Fetches what `peer` knows after a short pause, when it is still needed then.
     void fetch_later(endpoint const& peer, std::function<bool()> is_behind);
+    /// Asks a peer for everything it knows. Returns whether it answered.
     bool fetch_snapshot(endpoint const& peer);
     void adopt_tables(tables content, std::string_view source);
     void adopt_targets(std::string_view source);
     void tell_list(std::vector<list_note> notes);
-    void send(fleet_datagram const& message, endpoint const& to);
     void send_to_all(fleet_datagram const& message);
-    void send_bytes(std::string const& bytes, endpoint const& to);
     [[nodiscard]] list_note current_note() const;
     [[nodiscard]] http_response answer_peer(http_request const& request) const;
     [[nodiscard]] std::vector<instance_id> live_members() const;
@@ -71,7 +67,7 @@
     membership m_members;
     target_list m_list;
     read_schedule m_schedule;
-    boost::asio::ip::udp::socket m_socket;
+    fleet_socket m_socket;
     http_server m_peer_server;
     connection_cache m_peer_connections;
     home_directory m_homes;
--- a/Libraries/Gateway/gateway/request_dispatcher.cpp
+++ b/Libraries/Gateway/gateway/request_dispatcher.cpp
@@ -28,8 +28,6 @@
 constexpr double retry_after_spread_s = 0.15;
 /// A choice waits no longer for checks: a round trip between zones, a new connection and some work.
 constexpr auto check_wait = milliseconds(12);
-/// How often a waiting request looks for a place when nothing tells of one.
-constexpr auto place_poll = milliseconds(20);
 constexpr double min_free_to_hedge = 3;
 /// A retry with less time left than this share of the usual work would be a token.
 constexpr double least_useful_share = 0.5;
@@ -105,12 +103,6 @@
     exchange_report report;
 };
 
-struct request_dispatcher::waiter {
-    bool granted = false;
-    boost::fibers::mutex mutex;
-    boost::fibers::condition_variable changed;
-};
-
 /// The tries of one request. Kept alive by every fiber that works on it.
 struct request_dispatcher::race {
     std::vector<std::shared_ptr<try_state>> tries;
@@ -136,7 +128,8 @@
 };
 
 request_dispatcher::request_dispatcher(io_thread& thread, forwarding_state& state, target_client& targets)
-    : m_thread(thread), m_state(state), m_targets(targets), m_checker(thread, state, targets) {}
+    : m_thread(thread), m_state(state), m_targets(targets), m_checker(thread, state, targets),
+      m_places(state) {}
 
 bool request_dispatcher::may_overlap(http_request const& request) const {
     auto const routes = m_state.routes.load();
@@ -217,70 +210,13 @@
 }
 
 bool request_dispatcher::wait_for_place(context const& request) {
-    auto& admission = m_admissions[request.pool];
-    auto const now = std::chrono::steady_clock::now();
-    if (admission.queue.size() == 0 &&
-        m_state.board.free_places(request.pool, now) >= static_cast<double>(admission.admitted + 1)) {
-        ++admission.admitted;
-        return true;
-    }
     auto const work = m_state.board.usual_work(request.pool);
-    admission_claim const claim{.priority = request.route->priority,
-                                .latest_in_time = request.in_time_until - work,
-                                .latest_useful = request.deadline - work};
-    auto const own = std::max(1U, m_state.board.pool_in_flight(request.pool));
-    admission_pace const pace{.place_every = m_state.board.present_work(request.pool) / own};
-    auto const answer = admission.queue.judge(claim, pace, now);
-    log_line(log_level::info, "no_place")
-        .field("request", request.id)
-        .field("pool", request.pool)
-        .field("answer", answer == admission_answer::wait ? "wait" : "refuse")
-        .field("waiting", static_cast<std::uint64_t>(admission.queue.size()))
-        .field("place_every_ms", std::chrono::duration_cast<milliseconds>(pace.place_every).count())
-        .field("in_time_ms", ms_between(now, claim.latest_in_time))
-        .write();
-    m_state.counters.add(counter::queue_waits);
-    if (answer == admission_answer::refuse) {
-        return false;
-    }
-    auto const place = std::make_shared<waiter>();
-    request.watch.set_listener([place] { place->changed.notify_all(); });
-    admission.queue.push(claim, place);
-    wake_waiting(request.pool);
-    std::unique_lock lock(place->mutex);
-    while (!place->granted && !request.watch.is_gone()) {
-        auto const at = std::chrono::steady_clock::now();
-        bool const is_late = at >= claim.latest_in_time;
-        if (at >= claim.latest_useful || (is_late && admission.queue.has_timely(at))) {
-            break;
-        }
-        // Counts of other instances age without an event, so room is looked for now and then.
-        auto const step = at + place_poll;
-        place->changed.wait_until(lock, std::min(step, is_late ? claim.latest_useful : claim.latest_in_time));
-        wake_waiting(request.pool);
-    }
-    request.watch.clear_listener();
-    if (place->granted) {
-        return true;
-    }
-    admission.queue.remove(place);
-    return false;
-}
-
-void request_dispatcher::wake_waiting(std::string const& pool) {
-    auto const found = m_admissions.find(pool);
-    if (found == m_admissions.end()) {
-        return;
-    }
-    auto& admission = found->second;
-    auto const now = std::chrono::steady_clock::now();
-    while (admission.queue.size() > 0 &&
-           m_state.board.free_places(pool, now) >= static_cast<double>(admission.admitted + 1)) {
-        auto const next = admission.queue.pop(now);
-        (*next)->granted = true;
-        ++admission.admitted;
-        (*next)->changed.notify_all();
-    }
+    return m_places.acquire({.request_id = request.id,
+                             .pool = request.pool,
+                             .limits = {.priority = request.route->priority,
+                                        .latest_in_time = request.in_time_until - work,
+                                        .latest_useful = request.deadline - work}},
+                            request.watch);
 }
 
 void request_dispatcher::look_at_targets(context const& request, race const& tries) {
@@ -382,7 +318,7 @@
         m_state.board.retire(state.target);
     }
     if (auto const* pool = m_state.board.pool_of(state.target); pool != nullptr) {
-        wake_waiting(*pool);
+        m_places.wake(*pool);
     }
     if (report.end != exchange_end::answered) {
         log_line(log_level::info, "try_failed")
@@ -401,7 +337,6 @@
     auto const& route = *request.route;
     auto& budget = m_state.extra.of(request.pool);
     auto const launch = [&](std::string_view purpose) {
-        auto& admission = m_admissions[request.pool];
         if (!wait_for_place(request)) {
             return false;
         }
@@ -410,10 +345,10 @@
             tries->changed.notify_all();
         });
         look_at_targets(request, *tries);
-        --admission.admitted;
+        m_places.started(request.pool);
         bool const is_over = std::chrono::steady_clock::now() >= request.deadline;
         if (is_over || request.watch.is_gone() || !start_try(request, *tries, purpose)) {
-            wake_waiting(request.pool);
+            m_places.wake(request.pool);
             return false;
         }
         m_thread.spawn([this, tries, state = tries->tries.back()] { run_try(tries, state); });
@@ -488,7 +423,7 @@
             if (now >= hedge_at) {
                 hedged = true;
                 // Under load a second copy would take a place from a request that has none.
-                bool const has_room = m_admissions[request.pool].queue.size() == 0 &&
+                bool const has_room = !m_places.has_waiting(request.pool) &&
                                       m_state.board.free_places(request.pool, now) >= min_free_to_hedge;
                 if (tries->sent() < route.max_attempts && has_room && budget.try_spend()) {
                     m_state.counters.add(counter::hedges);
--- a/Libraries/Gateway/gateway/request_dispatcher.hpp
+++ b/Libraries/Gateway/gateway/request_dispatcher.hpp
@@ -1,14 +1,13 @@
 // Decides on each request: its route, its pool, which target to try, when to try another, and the answer.
 #pragma once
 
-#include "coordination/admission_queue.hpp"
 #include "gateway/caller_server.hpp"
 #include "gateway/forwarding_state.hpp"
+#include "gateway/place_waits.hpp"
 #include "gateway/status_checker.hpp"
 #include "gateway/target_client.hpp"
 #include "transport/io_thread.hpp"
 
-#include <map>
 #include <memory>
 #include <string>
 
@@ -28,19 +27,11 @@
     struct context;
     struct race;
     struct try_state;
-    struct waiter;
-
-    struct pool_admission {
-        admission_queue<std::shared_ptr<waiter>> queue;
-        std::size_t admitted = 0; ///< Have a place and did not start yet.
-    };
 
     [[nodiscard]] http_response serve(context& request);
     [[nodiscard]] http_response run_tries(context& request);
     /// Waits for a place at the pool. False when the request is to be refused, or its caller left.
     [[nodiscard]] bool wait_for_place(context const& request);
-    /// Places may have come free; gives them to requests that wait.
-    void wake_waiting(std::string const& pool);
     /// Asks likely targets how they are before one of them is chosen.
     void look_at_targets(context const& request, race const& tries);
     [[nodiscard]] bool start_try(context& request, race& tries, std::string_view purpose);
@@ -56,7 +47,7 @@
     forwarding_state& m_state;
     target_client& m_targets;
     status_checker m_checker;
-    std::map<std::string, pool_admission> m_admissions;
+    place_waits m_places;
 };
 
 } // namespace pomelospread
