--- a/Programs/pomelospreadctl/request_explainer.cpp
+++ b/Programs/pomelospreadctl/request_explainer.cpp
@@ -38,7 +38,7 @@
     std::string line = entry.event;
     for (auto const& [name, value] : entry.fields) {
         if (name != "event" && name != "time" && name != "level" && name != "request") {
-            line += " " + name + "=" + value;
+            line.append(" ").append(name).append("=").append(value);
         }
     }
     return line;
