Read schedule: Let the largest instances read the list of targets first

Traced by reading, not by a run: ranks went by random identities, so that mostly one of 107 small instances read; its notes of a change (up to 16 for each of 112 receivers) fill a link of 10 Mbit/s for a second, and a receiver takes what arrives late for fresh, since the age is counted from the sending. A note that is not the last of its reading also made the list look fresh. Change: rank by size, then identity; only the last note of a reading says how fresh the list is.

--- a/Libraries/Coordination/coordination/read_schedule.cpp
+++ b/Libraries/Coordination/coordination/read_schedule.cpp
@@ -4,9 +4,13 @@
 
 namespace pomelospread {
 
-std::uint32_t read_schedule::rank_of(instance_id self, std::span<instance_id const> alive) {
-    return static_cast<std::uint32_t>(
-        std::ranges::count_if(alive, [&](instance_id id) { return id < self; }));
+std::uint32_t read_schedule::rank_of(list_reader self, std::span<list_reader const> alive) {
+    auto const is_before_self = [&](list_reader const& other) {
+        return other.processor_permille != self.processor_permille
+                   ? other.processor_permille > self.processor_permille
+                   : other.id < self.id;
+    };
+    return static_cast<std::uint32_t>(std::ranges::count_if(alive, is_before_self));
 }
 
 std::chrono::milliseconds read_schedule::allowed_age(std::uint32_t rank) const {
--- a/Libraries/Coordination/coordination/read_schedule.hpp
+++ b/Libraries/Coordination/coordination/read_schedule.hpp
@@ -18,13 +18,21 @@
     std::chrono::milliseconds retry{700};  ///< After a failure of the first in rank; later ranks wait longer.
 };
 
+/// An instance that may read.
+struct list_reader {
+    instance_id id = 0;
+    std::uint32_t processor_permille = 1000;
+};
+
 /// The instance's rank among the live ones, and when it reads. Pure.
 class read_schedule {
 public:
     explicit read_schedule(read_schedule_limits limits = {}) : m_limits(limits) {}
 
-    /// The rank rotates with the identities only, so that every instance comes to the same order.
-    [[nodiscard]] static std::uint32_t rank_of(instance_id self, std::span<instance_id const> alive);
+    /// The largest instances come first, since telling a change to the whole fleet fills a small one's link
+    /// for seconds and the rest takes late news for fresh; then the identities decide, so that every instance
+    /// comes to the same order.
+    [[nodiscard]] static std::uint32_t rank_of(list_reader self, std::span<list_reader const> alive);
 
     /// How old the list may become at this rank before the instance reads it.
     [[nodiscard]] std::chrono::milliseconds allowed_age(std::uint32_t rank) const;
--- a/Libraries/Gateway/gateway/fleet_sync.cpp
+++ b/Libraries/Gateway/gateway/fleet_sync.cpp
@@ -131,19 +131,21 @@
 
 // Targets
 
-std::vector<instance_id> fleet_sync::live_members() const {
-    std::vector<instance_id> ids;
+std::vector<list_reader> fleet_sync::live_members() const {
+    std::vector<list_reader> readers;
     for (auto const& member : m_members.view()) {
         if (member.status == member_status::alive) {
-            ids.push_back(member.entry.id);
+            readers.push_back({.id = member.entry.id, .processor_permille = member.entry.processor_permille});
         }
     }
-    return ids;
+    return readers;
 }
 
 void fleet_sync::follow_targets() {
     while (!m_stopping) {
-        auto const rank = read_schedule::rank_of(m_members.self().id, live_members());
+        auto const rank = read_schedule::rank_of(
+            {.id = m_members.self().id, .processor_permille = m_members.self().processor_permille},
+            live_members());
         if (m_list.is_known()) {
             auto const due = m_list.read_at() + m_schedule.allowed_age(rank);
             auto const now = clock::now();
@@ -217,7 +219,9 @@
         return;
     }
     if (auto next = with_note(m_list.current(), note)) {
-        if (m_list.apply_shared(std::move(*next), read_at)) {
+        // A list that lacks the later notes of its reading is no newer than before.
+        bool const is_whole = next->version > m_list.current().version;
+        if (m_list.apply_shared(std::move(*next), is_whole ? read_at : m_list.read_at())) {
             adopt_targets("peer");
         }
         return;
--- a/Libraries/Gateway/gateway/fleet_sync.hpp
+++ b/Libraries/Gateway/gateway/fleet_sync.hpp
@@ -57,7 +57,7 @@
     void send_to_all(fleet_datagram const& message);
     [[nodiscard]] list_note current_note() const;
     [[nodiscard]] http_response answer_peer(http_request const& request) const;
-    [[nodiscard]] std::vector<instance_id> live_members() const;
+    [[nodiscard]] std::vector<list_reader> live_members() const;
     void note_store(bool answered, std::string_view what, std::string_view reason);
 
     io_thread& m_thread;
--- a/Tests/Coordination/test_target_list.cpp
+++ b/Tests/Coordination/test_target_list.cpp
@@ -72,11 +72,20 @@
 
 TEST_GROUP(read_schedules){};
 
+TEST(read_schedules, large_instances_read_before_small_ones) {
+    std::array<list_reader, 3> const alive{{{.id = 10, .processor_permille = 100},
+                                            {.id = 20, .processor_permille = 100},
+                                            {.id = 30, .processor_permille = 500}}};
+    LONGS_EQUAL(0, read_schedule::rank_of(alive[2], alive));
+    LONGS_EQUAL(1, read_schedule::rank_of(alive[0], alive));
+    LONGS_EQUAL(2, read_schedule::rank_of(alive[1], alive));
+}
+
 TEST(read_schedules, one_instance_reads_first_and_the_rest_stand_by_in_order) {
     read_schedule const schedule;
-    std::array<instance_id, 3> const alive{30, 10, 20};
-    LONGS_EQUAL(0, read_schedule::rank_of(10, alive));
-    LONGS_EQUAL(2, read_schedule::rank_of(30, alive));
+    std::array<list_reader, 3> const alive{{{.id = 30}, {.id = 10}, {.id = 20}}};
+    LONGS_EQUAL(0, read_schedule::rank_of({.id = 10}, alive));
+    LONGS_EQUAL(2, read_schedule::rank_of({.id = 30}, alive));
     CHECK(schedule.allowed_age(0) < schedule.allowed_age(1));
     // The last to stand by still reads well within the two seconds in which a leaving target must be known.
     CHECK(schedule.allowed_age(1000) < 1500ms);
