Reading: One acceptor, one checker of flags, one reader of rows, and digests computed once

Found by reading the change as a whole; what is decided and sent stays as it was. - caller_server, http_server and peer_server each had the accept loop, and two of them the draining of the kernel's queue: connection_acceptor in Transport. A failed accept is now logged by all three (accept_failed). - The two readers of settings each collected problems, addresses and ranges: flag_checks in Base.

--- a/Libraries/Entry/entry/settings.cpp
+++ b/Libraries/Entry/entry/settings.cpp
@@ -1,5 +1,6 @@
 #include "entry/settings.hpp"
 
+#include "base/flag_checks.hpp"
 #include "base/flags.hpp"
 
 #include <gflags/gflags.h>
@@ -49,7 +50,7 @@
 
 using std::chrono::milliseconds;
 
-class settings_reader {
+class settings_reader : private flag_checks {
 public:
     instance_settings read() {
         read_addresses();
@@ -57,57 +58,23 @@
         read_times();
         read_policy();
         check_relations();
-        if (!m_problems.empty()) {
-            throw invalid_input(std::move(m_problems));
-        }
+        throw_if_bad();
         return std::move(m_settings);
     }
 
 private:
-    template<class Read>
-    void collect(Read read) {
-        try {
-            read();
-        } catch (invalid_input const& failure) {
-            m_problems.insert(m_problems.end(), failure.problems().begin(), failure.problems().end());
-        }
-    }
-
-    std::int64_t ranged(char const* name, std::int64_t value, std::int64_t low, std::int64_t high) {
-        check_range(m_problems, name, value, low, high);
-        return value;
-    }
-
-    std::size_t count(char const* name, std::int64_t value, std::int64_t low, std::int64_t high) {
-        return static_cast<std::size_t>(ranged(name, value, low, high));
-    }
-
-    milliseconds time(char const* name, std::int64_t value, std::int64_t low, std::int64_t high) {
-        return milliseconds(ranged(name, value, low, high));
-    }
-
-    double share(char const* name, double value) {
-        if (!(value >= 0.0 && value <= 1.0)) {
-            m_problems.push_back({.field = "--" + std::string(name),
-                                  .problem = std::to_string(value) + " is out of range",
-                                  .allowed = "0 to 1"});
-        }
-        return value;
-    }
-
     void read_addresses() {
-        collect([&] { m_settings.listen = parse_endpoint(FLAGS_listen, "--listen"); });
-        collect([&] { m_settings.peer_listen = parse_endpoint(FLAGS_peer_listen, "--peer_listen"); });
-        collect([&] { m_settings.admin_listen = parse_endpoint(FLAGS_admin_listen, "--admin_listen"); });
+        m_settings.listen = address("listen", FLAGS_listen);
+        m_settings.peer_listen = address("peer_listen", FLAGS_peer_listen);
+        m_settings.admin_listen = address("admin_listen", FLAGS_admin_listen);
         if (FLAGS_platform != "embedded") {
-            collect([&] { m_settings.platform = parse_endpoint(FLAGS_platform, "--platform"); });
+            m_settings.platform = address("platform", FLAGS_platform);
         }
         collect([&] { m_settings.level = parse_log_level(FLAGS_log_level); });
         collect([&] { m_settings.format = parse_log_format(FLAGS_log_format); });
         m_settings.zone = FLAGS_zone;
         if (m_settings.zone.empty() || m_settings.zone.size() > table_limits::max_name_characters) {
-            m_problems.push_back(
-                {.field = "--zone", .problem = "has a wrong length", .allowed = "1 to 64 characters"});
+            add({.field = "--zone", .problem = "has a wrong length", .allowed = "1 to 64 characters"});
         }
         m_settings.routes_file = FLAGS_routes;
         m_settings.pools_file = FLAGS_pools;
@@ -150,30 +117,27 @@
     void read_policy() {
         auto& policy = m_settings.policy;
         policy.queue_places = ranged("queue_places", FLAGS_queue_places, 0, 16);
-        policy.hedge_share = share("hedge_share", FLAGS_hedge_share);
-        policy.retry_share = share("retry_share", FLAGS_retry_share);
+        policy.hedge_share = number("hedge_share", FLAGS_hedge_share, 0, 1);
+        policy.retry_share = number("retry_share", FLAGS_retry_share, 0, 1);
         policy.straggler_avoidance = FLAGS_straggler_avoidance;
         policy.peer_counts = FLAGS_peer_counts;
     }
 
     void check_relations() {
         if (m_settings.members.dead_after <= m_settings.members.suspect_after) {
-            m_problems.push_back(
-                {.field = "--dead_ms",
+            add({.field = "--dead_ms",
                  .problem = std::to_string(FLAGS_dead_ms) + " is too small",
                  .allowed = "above --suspect_ms (" + std::to_string(FLAGS_suspect_ms) + ")"});
         }
         bool const has_files = !FLAGS_routes.empty() || !FLAGS_pools.empty();
         if (has_files && FLAGS_platform != "embedded") {
-            m_problems.push_back(
-                {.field = "--routes and --pools",
+            add({.field = "--routes and --pools",
                  .problem = "are given beside a platform",
                  .allowed = "only with --platform=embedded; else use pomelospreadctl apply"});
         }
     }
 
     instance_settings m_settings;
-    std::vector<field_problem> m_problems;
 };
 
 } // namespace
--- a/Libraries/Gateway/gateway/caller_server.cpp
+++ b/Libraries/Gateway/gateway/caller_server.cpp
@@ -2,7 +2,6 @@
 
 #include "base/errors.hpp"
 #include "base/log.hpp"
-#include "transport/listener.hpp"
 #include "transport/socket_options.hpp"
 #include "transport/use_fiber.hpp"
 
@@ -26,7 +25,6 @@
 
 namespace {
 
-constexpr auto accept_failure_pause = std::chrono::milliseconds(10);
 /// Requests of one connection in progress at once.
 constexpr std::size_t max_overlap = 16;
 /// Unparsed bytes of one connection; a caller that sends more waits for its requests to be taken.
@@ -342,28 +340,12 @@
 
 caller_server::caller_server(io_thread& thread, endpoint const& address, caller_service service)
     : m_thread(thread), m_service(std::move(service)),
-      m_acceptor(open_listener(thread.io(), address, listener_sharing::exclusive)) {}
+      m_acceptor(thread, address, listener_sharing::exclusive) {}
 
 caller_server::~caller_server() = default;
 
 void caller_server::start() {
-    m_thread.spawn([this] { accept_loop(); });
-}
-
-void caller_server::accept_loop() {
-    while (!m_stopped) {
-        boost::system::error_code error;
-        auto socket = m_acceptor.async_accept(use_fiber(error));
-        if (m_stopped) {
-            return;
-        }
-        if (error) {
-            log_line(log_level::warning, "accept_failed").field("reason", error.message()).write();
-            boost::this_fiber::sleep_for(accept_failure_pause);
-            continue;
-        }
-        start_connection(std::move(socket));
-    }
+    m_acceptor.start([this](asio::ip::tcp::socket socket) { start_connection(std::move(socket)); });
 }
 
 void caller_server::start_connection(asio::ip::tcp::socket socket) {
@@ -380,19 +362,7 @@
 
 void caller_server::stop_listening() {
     m_draining = true;
-    // A connection in the kernel's queue would be reset by closing the listener, so it is served first.
-    for (;;) {
-        boost::system::error_code error;
-        asio::ip::tcp::socket socket(m_thread.io());
-        m_acceptor.accept(socket, error);
-        if (error) {
-            break;
-        }
-        start_connection(std::move(socket));
-    }
-    m_stopped = true;
-    boost::system::error_code ignored;
-    m_acceptor.close(ignored);
+    m_acceptor.drain_and_close();
     for (auto const& each : m_connections) {
         each->close_if_idle();
     }
--- a/Libraries/Gateway/gateway/caller_server.hpp
+++ b/Libraries/Gateway/gateway/caller_server.hpp
@@ -5,6 +5,7 @@
 #include "base/endpoint.hpp"
 #include "protocol/http_types.hpp"
 #include "state/tables.hpp"
+#include "transport/connection_acceptor.hpp"
 #include "transport/io_thread.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -58,15 +59,13 @@
 private:
     class connection;
 
-    void accept_loop();
     void start_connection(boost::asio::ip::tcp::socket socket);
 
     io_thread& m_thread;
     caller_service m_service;
-    boost::asio::ip::tcp::acceptor m_acceptor;
+    connection_acceptor m_acceptor;
     std::set<std::shared_ptr<connection>> m_connections;
     bool m_draining = false;
-    bool m_stopped = false;
 };
 
 } // namespace pomelospread
--- a/Libraries/Gateway/gateway/fleet_sync.cpp
+++ b/Libraries/Gateway/gateway/fleet_sync.cpp
@@ -218,7 +218,7 @@
     if (note.version < m_list.current().version) {
         return;
     }
-    if (auto next = with_note(m_list.current(), note)) {
+    if (auto next = with_note(m_list.current(), m_list.digest(), note)) {
         // A list that lacks the later notes of its reading is no newer than before.
         bool const is_whole = next->version > m_list.current().version;
         if (m_list.apply_shared(std::move(*next), is_whole ? read_at : m_list.read_at())) {
@@ -410,10 +410,9 @@
     return make_response(200, "application/octet-stream", encode_knowledge(snapshot));
 }
 
-std::vector<endpoint> fleet_sync::addresses_for(address_query const& query) {
-    auto const routes = m_state.routes.load();
-    m_homes.refresh(*routes, m_members.view());
-    return m_homes.addresses_for(*routes, query.host, query.zone, max_addresses);
+std::vector<endpoint> fleet_sync::addresses_for(address_query const& query) const {
+    return m_homes.addresses_for(*m_state.routes.load(), m_members.view(), query.host, query.zone,
+                                 max_addresses);
 }
 
 void fleet_sync::announce_leaving() {
--- a/Libraries/Gateway/gateway/fleet_sync.hpp
+++ b/Libraries/Gateway/gateway/fleet_sync.hpp
@@ -36,7 +36,7 @@
     /// Tables and targets are known.
     [[nodiscard]] bool is_ready() const;
     /// The instances that callers of a zone are to use for a host.
-    [[nodiscard]] std::vector<endpoint> addresses_for(address_query const& query);
+    [[nodiscard]] std::vector<endpoint> addresses_for(address_query const& query) const;
     [[nodiscard]] std::string status() const;
 
 private:
--- a/Libraries/Gateway/gateway/gateway_settings.cpp
+++ b/Libraries/Gateway/gateway/gateway_settings.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway_settings.hpp"
 
+#include "base/flag_checks.hpp"
 #include "base/flags.hpp"
 #include "base/read_file.hpp"
 
@@ -47,7 +48,7 @@
 constexpr double used_share_of_slack = 0.6;
 constexpr double used_share_of_checks = 0.7;
 
-class reader {
+class settings_reader : private flag_checks {
 public:
     gateway_settings read() {
         gateway_settings result;
@@ -70,50 +71,19 @@
         result.extra_burst = number("extra_slack", FLAGS_extra_slack, 0, 100000) * used_share_of_slack;
         result.checks_per_second =
             number("checks_per_s", FLAGS_checks_per_s, 0, 10000) * used_share_of_checks;
-        check_range(m_problems, "checked_candidates", FLAGS_checked_candidates, 0, 16);
-        result.checked_candidates = static_cast<std::size_t>(FLAGS_checked_candidates);
-        check_range(m_problems, "fresh_report_ms", FLAGS_fresh_report_ms, 0, 10000);
-        result.fresh_report = milliseconds(FLAGS_fresh_report_ms);
-        check_range(m_problems, "homes_per_zone", FLAGS_homes_per_zone, 1, 1000);
-        result.homes.least = static_cast<std::size_t>(FLAGS_homes_per_zone);
+        result.checked_candidates = count("checked_candidates", FLAGS_checked_candidates, 0, 16);
+        result.fresh_report = time("fresh_report_ms", FLAGS_fresh_report_ms, 0, 10000);
+        result.homes.least = count("homes_per_zone", FLAGS_homes_per_zone, 1, 1000);
         result.homes.processor_permille = permille("home_processors", FLAGS_home_processors, 0);
         result.processor_permille = permille("processors", FLAGS_processors, 0.001);
-        check_range(m_problems, "log_lines_per_s", FLAGS_log_lines_per_s, 1, 1000000);
-        result.log_lines_per_second = static_cast<std::uint32_t>(FLAGS_log_lines_per_s);
-        check_range(m_problems, "account_capacity", FLAGS_account_capacity, 100, 10000000);
-        result.journal_capacity = static_cast<std::size_t>(FLAGS_account_capacity);
-        if (!m_problems.empty()) {
-            throw invalid_input(std::move(m_problems));
-        }
+        result.log_lines_per_second =
+            static_cast<std::uint32_t>(ranged("log_lines_per_s", FLAGS_log_lines_per_s, 1, 1000000));
+        result.journal_capacity = count("account_capacity", FLAGS_account_capacity, 100, 10000000);
+        throw_if_bad();
         return result;
     }
 
 private:
-    template<class Read>
-    void collect(Read read) {
-        try {
-            read();
-        } catch (invalid_input const& failure) {
-            m_problems.insert(m_problems.end(), failure.problems().begin(), failure.problems().end());
-        }
-    }
-
-    endpoint address(char const* name, std::string const& text) {
-        endpoint result;
-        collect([&] { result = parse_endpoint(text, "--" + std::string(name)); });
-        return result;
-    }
-
-    double number(char const* name, double value, double low, double high) {
-        if (!(value >= low && value <= high)) {
-            m_problems.push_back({.field = "--" + std::string(name),
-                                  .problem = std::to_string(value) + " is out of range",
-                                  .allowed = std::to_string(low) + " to " + std::to_string(high)});
-            return low;
-        }
-        return value;
-    }
-
     std::uint32_t permille(char const* name, double value, double low) {
         return static_cast<std::uint32_t>(std::lround(number(name, value, low, 1000) * 1000.0));
     }
@@ -130,8 +100,6 @@
             }
         }
     }
-
-    std::vector<field_problem> m_problems;
 };
 
 void read_settings_file(std::string const& path) {
@@ -159,7 +127,7 @@
         // Flags win over the file.
         static_cast<void>(read_command_line(arguments, gateway_settings_file));
     }
-    return reader().read();
+    return settings_reader().read();
 }
 
 std::string describe_gateway_settings() {
--- a/Libraries/Gateway/gateway/home_directory.cpp
+++ b/Libraries/Gateway/gateway/home_directory.cpp
@@ -1,45 +1,57 @@
 #include "gateway/home_directory.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace pomelospread {
 
-void home_directory::refresh(route_index const& routes, std::span<member_view const> members) {
-    m_candidates.clear();
-    m_most_homes = 0;
-    std::set<std::string> zones;
+namespace {
+
+std::vector<home_candidate> candidates_of(std::span<member_view const> members) {
+    std::vector<home_candidate> candidates;
     for (auto const& member : members) {
         if (member.status == member_status::alive) {
-            m_candidates.push_back({.address = member.entry.caller_address,
-                                    .peer_address = member.entry.peer_address,
-                                    .zone = member.entry.zone,
-                                    .processor_permille = member.entry.processor_permille});
-            zones.insert(member.entry.zone);
+            candidates.push_back({.address = member.entry.caller_address,
+                                  .peer_address = member.entry.peer_address,
+                                  .zone = member.entry.zone,
+                                  .processor_permille = member.entry.processor_permille});
         }
     }
+    return candidates;
+}
+
+} // namespace
+
+void home_directory::refresh(route_index const& routes, std::span<member_view const> members) {
+    auto const candidates = candidates_of(members);
+    std::set<std::string> zones;
+    std::ranges::transform(candidates, std::inserter(zones, zones.end()), &home_candidate::zone);
+    m_most_homes = 0;
     std::map<std::string, std::set<endpoint>> by_key;
     m_peers.clear();
     for (auto const& pool : routes.content().pools) {
         auto& peers = m_peers[pool.name];
         for (auto const& key : routes.home_keys_of(pool.name)) {
-            auto const [homes, is_new] = by_key.try_emplace(key);
-            for (auto const& zone : zones) {
-                if (is_new) {
-                    for (auto const& home : homes_of(key, zone, m_candidates, m_limits)) {
-                        homes->second.insert(home.peer_address);
+            auto& homes = by_key[key];
+            if (homes.empty()) {
+                for (auto const& zone : zones) {
+                    for (auto const& home : homes_of(key, zone, candidates, m_limits)) {
+                        homes.insert(home.peer_address);
                     }
                 }
             }
-            m_most_homes = std::max(m_most_homes, homes->second.size());
-            peers.insert(homes->second.begin(), homes->second.end());
+            m_most_homes = std::max(m_most_homes, homes.size());
+            peers.insert(homes.begin(), homes.end());
         }
     }
 }
 
-std::vector<endpoint> home_directory::addresses_for(route_index const& routes, std::string_view host,
-                                                    std::string_view zone, std::size_t count) const {
+std::vector<endpoint> home_directory::addresses_for(route_index const& routes,
+                                                    std::span<member_view const> members,
+                                                    std::string_view host, std::string_view zone,
+                                                    std::size_t count) const {
     std::vector<endpoint> addresses;
-    for (auto const& home : homes_of(routes.home_key(host), zone, m_candidates, m_limits)) {
+    for (auto const& home : homes_of(routes.home_key(host), zone, candidates_of(members), m_limits)) {
         if (addresses.size() < count) {
             addresses.push_back(home.address);
         }
--- a/Libraries/Gateway/gateway/home_directory.hpp
+++ b/Libraries/Gateway/gateway/home_directory.hpp
@@ -19,12 +19,14 @@
 public:
     explicit home_directory(home_limits limits) : m_limits(limits) {}
 
-    /// What is known of the fleet and the routes now.
+    /// Works out the homes of every pool from what is known of the fleet and the routes now.
     void refresh(route_index const& routes, std::span<member_view const> members);
 
-    /// The addresses for callers of `host` in `zone`, at most `count`.
-    [[nodiscard]] std::vector<endpoint> addresses_for(route_index const& routes, std::string_view host,
-                                                      std::string_view zone, std::size_t count) const;
+    /// The addresses for callers of `host` in `zone`, at most `count`; does not wait for a `refresh`.
+    [[nodiscard]] std::vector<endpoint> addresses_for(route_index const& routes,
+                                                      std::span<member_view const> members,
+                                                      std::string_view host, std::string_view zone,
+                                                      std::size_t count) const;
     /// How many instances, over all zones, the callers of one host are sent to at the most.
     [[nodiscard]] std::size_t most_homes() const noexcept { return m_most_homes; }
     /// The instances that serve a pool's requests, by their addresses for instances.
@@ -32,7 +34,6 @@
 
 private:
     home_limits m_limits;
-    std::vector<home_candidate> m_candidates;
     std::size_t m_most_homes = 0;
     std::map<std::string, std::set<endpoint>, std::less<>> m_peers; ///< By pool.
 };
--- a/Libraries/Gateway/gateway/list_notes.cpp
+++ b/Libraries/Gateway/gateway/list_notes.cpp
@@ -15,7 +15,6 @@
 
 std::vector<list_note> notes_between(target_reading const& before, target_reading const& after,
                                      std::uint32_t age_ms) {
-    auto const digest = digest_of(after.targets);
     std::vector<list_note> parts(1);
     auto const part_with_room = [&]() -> list_note& {
         if (parts.back().changed.size() + parts.back().removed.size() == max_entries_per_note) {
@@ -35,22 +34,25 @@
         }
     }
     if (parts.size() > max_notes) {
-        return {{.version = after.version, .digest = digest, .age_ms = age_ms}};
+        return {{.version = after.version, .digest = digest_of(after.targets), .age_ms = age_ms}};
     }
     auto list = before;
+    auto digest = digest_of(before.targets);
     for (auto& part : parts) {
         part.version = before.version;
         part.age_ms = age_ms;
-        part.base_digest = digest_of(list.targets);
-        list = *with_note(list, part);
-        part.digest = digest_of(list.targets);
+        part.base_digest = digest;
+        list = *with_note(list, digest, part);
+        digest = digest_of(list.targets);
+        part.digest = digest;
     }
     parts.back().version = after.version;
     return parts;
 }
 
-std::optional<target_reading> with_note(target_reading const& current, list_note const& note) {
-    if (note.base_digest == 0 || note.base_digest != digest_of(current.targets)) {
+std::optional<target_reading> with_note(target_reading const& current, std::uint64_t digest,
+                                        list_note const& note) {
+    if (note.base_digest == 0 || note.base_digest != digest) {
         return std::nullopt;
     }
     target_reading next{.version = note.version, .targets = current.targets};
--- a/Libraries/Gateway/gateway/list_notes.hpp
+++ b/Libraries/Gateway/gateway/list_notes.hpp
@@ -15,7 +15,9 @@
 [[nodiscard]] std::vector<list_note> notes_between(target_reading const& before, target_reading const& after,
                                                    std::uint32_t age_ms);
 
-/// The list with the note's entries, or nothing when the note does not apply to it. Pure.
-[[nodiscard]] std::optional<target_reading> with_note(target_reading const& current, list_note const& note);
+/// The list with the note's entries, or nothing when the note does not apply to it. `digest` is the current
+/// list's. Pure.
+[[nodiscard]] std::optional<target_reading> with_note(target_reading const& current, std::uint64_t digest,
+                                                      list_note const& note);
 
 } // namespace pomelospread
--- a/Libraries/Protocol/protocol/http_server.cpp
+++ b/Libraries/Protocol/protocol/http_server.cpp
@@ -2,11 +2,9 @@
 
 #include "base/errors.hpp"
 #include "base/log.hpp"
-#include "transport/listener.hpp"
 #include "transport/use_fiber.hpp"
 
 #include <boost/beast/http.hpp>
-#include <boost/fiber/operations.hpp>
 
 #include <array>
 #include <optional>
@@ -20,7 +18,6 @@
 
 namespace {
 
-constexpr auto accept_failure_pause = std::chrono::milliseconds(10);
 constexpr std::size_t first_read_bytes = 1024;
 constexpr auto close_timeout = std::chrono::milliseconds(500);
 
@@ -35,32 +32,12 @@
 
 http_server::http_server(io_thread& thread, endpoint const& address, http_limits limits, handler handle)
     : m_thread(thread), m_limits(limits), m_handle(std::move(handle)),
-      m_acceptor(open_listener(thread.io(), address, listener_sharing::shared)) {}
+      m_acceptor(thread, address, listener_sharing::shared) {}
 
 http_server::~http_server() = default;
 
 void http_server::start() {
-    m_thread.spawn([this] { accept_loop(); });
-}
-
-endpoint http_server::local_address() const {
-    auto const local = m_acceptor.local_endpoint();
-    return {local.address().to_string(), local.port()};
-}
-
-void http_server::accept_loop() {
-    while (!m_stopped) {
-        boost::system::error_code error;
-        auto socket = m_acceptor.async_accept(use_fiber(error));
-        if (m_stopped) {
-            return;
-        }
-        if (error) {
-            boost::this_fiber::sleep_for(accept_failure_pause);
-            continue;
-        }
-        start_session(std::move(socket));
-    }
+    m_acceptor.start([this](asio::ip::tcp::socket socket) { start_session(std::move(socket)); });
 }
 
 void http_server::start_session(asio::ip::tcp::socket socket) {
@@ -162,19 +139,7 @@
 
 void http_server::stop_listening() {
     m_draining = true;
-    // A connection in the kernel's queue would be reset by closing the listener, so it is served first.
-    for (;;) {
-        boost::system::error_code error;
-        asio::ip::tcp::socket socket(m_thread.io());
-        m_acceptor.accept(socket, error);
-        if (error) {
-            break;
-        }
-        start_session(std::move(socket));
-    }
-    m_stopped = true;
-    boost::system::error_code ignored;
-    m_acceptor.close(ignored);
+    m_acceptor.drain_and_close();
     for (auto* idle : m_idle_sessions) {
         idle->stream.cancel();
     }
--- a/Libraries/Protocol/protocol/http_server.hpp
+++ b/Libraries/Protocol/protocol/http_server.hpp
@@ -3,6 +3,7 @@
 
 #include "base/endpoint.hpp"
 #include "protocol/http_types.hpp"
+#include "transport/connection_acceptor.hpp"
 #include "transport/io_thread.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -34,13 +35,12 @@
     /// Requests in progress are answered. Call from a fiber of the server's thread.
     void stop_listening();
 
-    [[nodiscard]] endpoint local_address() const;
+    [[nodiscard]] endpoint local_address() const { return m_acceptor.local_address(); }
     [[nodiscard]] std::size_t open_connections() const noexcept { return m_open.load(); }
 
 private:
     struct session;
 
-    void accept_loop();
     void start_session(boost::asio::ip::tcp::socket socket);
     void serve(session& current);
     [[nodiscard]] bool serve_one(session& current);
@@ -48,10 +48,9 @@
     io_thread& m_thread;
     http_limits m_limits;
     handler m_handle;
-    boost::asio::ip::tcp::acceptor m_acceptor;
+    connection_acceptor m_acceptor;
     std::set<session*> m_idle_sessions;
     std::atomic<bool> m_draining{false};
-    std::atomic<bool> m_stopped{false};
     std::atomic<std::size_t> m_open{0};
 };
 
--- a/Libraries/Protocol/protocol/peer_link.cpp
+++ b/Libraries/Protocol/protocol/peer_link.cpp
@@ -23,7 +23,6 @@
 namespace {
 
 constexpr auto connect_timeout = std::chrono::milliseconds(1000);
-constexpr auto accept_failure_pause = std::chrono::milliseconds(10);
 
 /// Frames are a 32-bit big-endian length and that many bytes. Throws `exchange_incomplete`.
 void write_frame(beast::tcp_stream& stream, std::string const& bytes) {
@@ -264,28 +263,10 @@
 
 peer_server::peer_server(io_thread& thread, endpoint const& address, instance_id self, handler handle)
     : m_thread(thread), m_self(self), m_handle(std::move(handle)),
-      m_acceptor(open_listener(thread.io(), address, listener_sharing::exclusive)) {}
+      m_acceptor(thread, address, listener_sharing::exclusive) {}
 
 void peer_server::start() {
-    m_thread.spawn([this] { accept_loop(); });
-}
-
-endpoint peer_server::local_address() const {
-    auto const local = m_acceptor.local_endpoint();
-    return {local.address().to_string(), local.port()};
-}
-
-void peer_server::accept_loop() {
-    while (!m_stopped) {
-        boost::system::error_code error;
-        auto socket = m_acceptor.async_accept(use_fiber(error));
-        if (m_stopped) {
-            return;
-        }
-        if (error) {
-            boost::this_fiber::sleep_for(accept_failure_pause);
-            continue;
-        }
+    m_acceptor.start([this](asio::ip::tcp::socket socket) {
         configure_socket(socket);
         auto stream = std::make_shared<beast::tcp_stream>(std::move(socket));
         m_thread.spawn([this, stream] {
@@ -293,7 +274,7 @@
             serve(*stream);
             m_streams.erase(stream.get());
         });
-    }
+    });
 }
 
 void peer_server::serve(beast::tcp_stream& stream) {
@@ -319,8 +300,7 @@
 
 void peer_server::stop() {
     m_stopped = true;
-    boost::system::error_code ignored;
-    m_acceptor.close(ignored);
+    m_acceptor.close();
     for (auto* stream : m_streams) {
         stream->close();
     }
--- a/Libraries/Protocol/protocol/peer_link.hpp
+++ b/Libraries/Protocol/protocol/peer_link.hpp
@@ -3,6 +3,7 @@
 
 #include "protocol/http_types.hpp"
 #include "protocol/peer_messages.hpp"
+#include "transport/connection_acceptor.hpp"
 #include "transport/io_thread.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -127,16 +128,15 @@
     void start();
     /// Stops listening and closes every link. Call from a fiber of the server's thread.
     void stop();
-    [[nodiscard]] endpoint local_address() const;
+    [[nodiscard]] endpoint local_address() const { return m_acceptor.local_address(); }
 
 private:
-    void accept_loop();
     void serve(boost::beast::tcp_stream& stream);
 
     io_thread& m_thread;
     instance_id m_self;
     handler m_handle;
-    boost::asio::ip::tcp::acceptor m_acceptor;
+    connection_acceptor m_acceptor;
     std::set<boost::beast::tcp_stream*> m_streams;
     bool m_stopped = false;
 };
--- a/Tests/Gateway/test_list_notes.cpp
+++ b/Tests/Gateway/test_list_notes.cpp
@@ -40,7 +40,7 @@
     auto list = before;
     for (auto const& note : notes) {
         CHECK(encode_datagram({.has_targets = true, .targets = note}).size() <= 1400);
-        list = *with_note(list, note);
+        list = *with_note(list, digest_of(list.targets), note);
     }
     CHECK(list.targets == after.targets);
     LONGS_EQUAL(9, list.version);
@@ -49,9 +49,9 @@
 TEST(list_notes_between, one_that_misses_a_note_applies_no_later_one_and_stays_behind) {
     auto const before = reading(3, range(0, 4));
     auto const notes = notes_between(before, reading(9, range(0, 30)), 5);
-    auto const first = *with_note(before, notes.front());
+    auto const first = *with_note(before, digest_of(before.targets), notes.front());
     LONGS_EQUAL(3, first.version);
-    CHECK_FALSE(with_note(first, notes.back()).has_value());
+    CHECK_FALSE(with_note(first, digest_of(first.targets), notes.back()).has_value());
     CHECK(notes.back().version > first.version);
 }
 
@@ -73,7 +73,7 @@
                 return;
             }
             for (auto const& note : notes) {
-                list = *with_note(list, note);
+                list = *with_note(list, digest_of(list.targets), note);
             }
             RC_ASSERT(list.targets == after.targets);
             RC_ASSERT(list.version == 2U);
