Transport: Release the stacks of a thread's last fibers before their pool ends

Cause: a thread's pool of free stacks was first used after the fiber scheduler of the thread, so it was destroyed before it. A fiber that terminated last, while the thread's main fiber was ready, is released only by the scheduler's destructor; its stack then went into a destroyed vector. Otherwise the write to freed memory went unnoticed.

Cause of the hang of pomelospreadctl at its end: pick_next polls the io_context and may run the handler that notify() posted, after the dispatcher had emptied its list of fibers made ready by other threads; the dispatcher then blocked with a ready fiber. A flag that notify() sets now keeps it from blocking.

--- a/Libraries/Transport/transport/fiber_scheduler.cpp
+++ b/Libraries/Transport/transport/fiber_scheduler.cpp
@@ -37,6 +37,9 @@
 }
 
 void fiber_scheduler::suspend_until(std::chrono::steady_clock::time_point const& wake_up) noexcept {
+    if (m_notified.exchange(false)) {
+        return;
+    }
     if (wake_up == (std::chrono::steady_clock::time_point::max)()) {
         m_io.run_one();
         return;
@@ -45,6 +48,7 @@
 }
 
 void fiber_scheduler::notify() noexcept {
+    m_notified.store(true);
     boost::asio::post(m_io, [] {});
 }
 
--- a/Libraries/Transport/transport/fiber_scheduler.hpp
+++ b/Libraries/Transport/transport/fiber_scheduler.hpp
@@ -6,6 +6,7 @@
 #include <boost/fiber/context.hpp>
 #include <boost/fiber/scheduler.hpp>
 
+#include <atomic>
 #include <chrono>
 
 namespace pomelospread {
@@ -29,6 +30,9 @@
     boost::asio::io_context& m_io;
     boost::fibers::scheduler::ready_queue_type m_ready_queue;
     std::size_t m_ready_worker_count = 0;
+    /// Set by `notify` until the dispatcher is about to block: `pick_next` may run the handler that `notify`
+    /// posted after the dispatcher already looked for fibers that other threads made ready.
+    std::atomic<bool> m_notified{false};
 };
 
 } // namespace pomelospread
--- a/Libraries/Transport/transport/io_thread.cpp
+++ b/Libraries/Transport/transport/io_thread.cpp
@@ -68,6 +68,7 @@
 void io_thread::run() {
     pthread_setname_np(pthread_self(), m_name.substr(0, 15).c_str());
     urcu_memb_register_thread();
+    pooled_stack_allocator::prepare_thread();
     boost::fibers::use_scheduling_algorithm<fiber_scheduler>(m_io);
     // The main fiber only waits for `stop`; meanwhile the dispatcher fiber runs the io_context.
     {
--- a/Libraries/Transport/transport/pooled_stack_allocator.cpp
+++ b/Libraries/Transport/transport/pooled_stack_allocator.cpp
@@ -24,6 +24,10 @@
 
 } // namespace
 
+void pooled_stack_allocator::prepare_thread() {
+    static_cast<void>(thread_free_stacks());
+}
+
 boost::context::stack_context pooled_stack_allocator::allocate() {
     auto& free = thread_free_stacks();
     if (free.stacks.empty()) {
--- a/Libraries/Transport/transport/pooled_stack_allocator.hpp
+++ b/Libraries/Transport/transport/pooled_stack_allocator.hpp
@@ -15,6 +15,10 @@
     static constexpr std::size_t stack_bytes = std::size_t{256} * 1024;
     static constexpr std::size_t max_free_stacks_per_thread = 512;
 
+    /// Call on each thread before its first use of Boost.Fiber. Fibers that ended last return their stacks
+    /// while the thread's scheduler is destroyed, so the free stacks have to be destroyed after it.
+    static void prepare_thread();
+
     boost::context::stack_context allocate();
     void deallocate(boost::context::stack_context& stack) noexcept;
 };
--- a/Tests/Transport/test_fibers.cpp
+++ b/Tests/Transport/test_fibers.cpp
@@ -1,4 +1,6 @@
+#include "transport/fiber_scheduler.hpp"
 #include "transport/io_thread.hpp"
+#include "transport/pooled_stack_allocator.hpp"
 #include "transport/use_fiber.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -9,11 +11,14 @@
 #include <boost/fiber/mutex.hpp>
 #include <boost/fiber/operations.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <ctime>
 #include <future>
 #include <mutex>
+#include <thread>
+#include <vector>
 
 using namespace pomelospread;
 using namespace std::chrono_literals;
@@ -107,3 +112,48 @@
     });
     CHECK(result.get_future().get());
 }
+
+TEST(fibers, a_polled_notification_still_ends_the_wait_of_the_dispatcher) {
+    boost::asio::io_context io(1);
+    auto const work = boost::asio::make_work_guard(io);
+    fiber_scheduler scheduler(io);
+    scheduler.notify();
+    io.poll(); // As `pick_next` does after the dispatcher emptied its list of fibers from other threads.
+    auto const start = std::chrono::steady_clock::now();
+    scheduler.suspend_until(start + 2s);
+    CHECK(std::chrono::steady_clock::now() - start < 1s);
+}
+
+TEST(fibers, a_thread_ends_before_its_dispatcher_releases_the_last_fiber) {
+    for (int released_count = 1; released_count <= 9; ++released_count) {
+        // Outlives the thread, since the scheduler polls it once more when the thread ends.
+        boost::asio::io_context io(1);
+        auto const work = boost::asio::make_work_guard(io);
+        std::thread([released_count, &io] {
+            pooled_stack_allocator::prepare_thread();
+            boost::fibers::use_scheduling_algorithm<fiber_scheduler>(io);
+            auto const start_fiber = [](auto function) {
+                return boost::fibers::fiber(boost::fibers::launch::post, std::allocator_arg,
+                                            pooled_stack_allocator{}, std::move(function));
+            };
+            boost::fibers::mutex mutex;
+            boost::fibers::condition_variable changed;
+            bool may_end = false;
+            auto last = start_fiber([&] {
+                std::unique_lock lock(mutex);
+                changed.wait(lock, [&] { return may_end; });
+            });
+            std::vector<boost::fibers::fiber> released;
+            for (int i = 0; i < released_count; ++i) {
+                released.push_back(start_fiber([] {}));
+            }
+            std::ranges::for_each(released, &boost::fibers::fiber::join);
+            boost::this_fiber::sleep_for(1ms); // The dispatcher returns their stacks to the pool.
+            may_end = true;
+            changed.notify_all();
+            // The last fiber ends while this one is ready, so the thread ends before the dispatcher runs.
+            boost::this_fiber::yield();
+            last.detach();
+        }).join();
+    }
+}
