Gateway: Send each change once to a relay of every zone instead of to all instances

Change: `distribution_plan` (decision code, no network) names two relays for each zone, the largest instances, as list readers are ranked. A change goes to the own zone and the relays of the others, and these forward it; what has to be fetched is fetched in the own zone, without the parts that the requester has. Relays and three more hold the question for tables; others ask after 1.5 s without word that it was answered. Up to 24 instances nothing changes. Instances join before they read, so that the platform is not asked by all at once, and spread the registrations over 2 s when the whole fleet starts. Bytes are counted by kind and zone (metrics, `fleet_bytes` at a stop).

The burst of extra attempts is divided among the homes, not among all instances: with 115 instances each home could accumulate one.

A format change: instances of the build before reject these datagrams and the other way round.

Tests: distribution_plans (every change reaches all, also with one silent relay in each zone; two datagrams enter a zone), transit_delay_estimators, process_forwarding 19 of 19. The test of a large change uses 800 targets, since up to 384 are now sent as entries.

--- a/Libraries/Base/base/metrics.cpp
+++ b/Libraries/Base/base/metrics.cpp
@@ -48,7 +48,18 @@
     "heartbeat_bytes_received",
     "datagrams_rejected",
     "pauses_detected",
-    "status_checks"};
+    "status_checks",
+    "heartbeat_bytes_own_zone",
+    "heartbeat_bytes_other_zones",
+    "announcement_bytes_own_zone",
+    "announcement_bytes_other_zones",
+    "list_update_bytes_own_zone",
+    "list_update_bytes_other_zones",
+    "load_update_bytes_own_zone",
+    "load_update_bytes_other_zones",
+    "snapshot_bytes_own_zone",
+    "snapshot_bytes_other_zones",
+    "platform_calls"};
 
 void append_sample(std::string& text, std::string_view name, std::string_view suffix, std::string_view labels,
                    std::string const& value) {
--- a/Libraries/Base/base/metrics.hpp
+++ b/Libraries/Base/base/metrics.hpp
@@ -56,6 +56,17 @@
     datagrams_rejected,
     pauses_detected,
     status_checks,
+    heartbeat_bytes_own_zone,
+    heartbeat_bytes_other_zones,
+    announcement_bytes_own_zone,
+    announcement_bytes_other_zones,
+    list_update_bytes_own_zone,
+    list_update_bytes_other_zones,
+    load_update_bytes_own_zone,
+    load_update_bytes_other_zones,
+    snapshot_bytes_own_zone,
+    snapshot_bytes_other_zones,
+    platform_calls,
     count,
 };
 
--- a/Libraries/Gateway/gateway/fleet_messages.cpp
+++ b/Libraries/Gateway/gateway/fleet_messages.cpp
@@ -25,9 +25,14 @@
             value.report_age_ms, value.failures);
 }
 
+template<class Archive>
+void serialize(Archive& archive, tables_state& value) {
+    archive(value.version, value.confirmed_age_ms);
+}
+
 template<class Archive>
 void serialize(Archive& archive, fleet_datagram& value) {
-    archive(value.has_members);
+    archive(value.kind, value.sent_ms, value.has_members);
     if (value.has_members) {
         archive(value.members);
     }
@@ -35,6 +40,10 @@
     if (value.has_list_update) {
         archive(value.list_update);
     }
+    archive(value.has_tables);
+    if (value.has_tables) {
+        archive(value.tables);
+    }
     archive(value.load_updates);
 }
 
@@ -82,7 +91,11 @@
 }
 
 fleet_datagram decode_datagram(std::string_view bytes) {
-    return detail::decode_message<fleet_datagram>(bytes);
+    auto message = detail::decode_message<fleet_datagram>(bytes);
+    if (message.kind > datagram_kind::load_update) {
+        throw malformed_message("the kind of the datagram is not one of 0 to 3");
+    }
+    return message;
 }
 
 std::string encode_snapshot(peer_snapshot const& message) {
--- a/Libraries/Gateway/gateway/fleet_messages.hpp
+++ b/Libraries/Gateway/gateway/fleet_messages.hpp
@@ -35,17 +35,36 @@
     std::uint8_t failures = 0;          ///< The sender's requests that failed there since its last update.
 };
 
+/// The version of the sender's routing tables, and how long ago it knew that the platform had no newer one.
+struct tables_state {
+    std::uint64_t version = 0; ///< 0: the sender has none.
+    std::uint32_t confirmed_age_ms = 0;
+};
+
+/// Why a datagram is sent. Relays forward announcements and list updates within their zone.
+enum class datagram_kind : std::uint8_t {
+    heartbeat,
+    announcement, ///< The sender joins, leaves or has newer tables.
+    list_update,
+    load_update,
+};
+
 /// One datagram; each part is optional.
 struct fleet_datagram {
+    datagram_kind kind = datagram_kind::heartbeat;
+    std::uint64_t sent_ms = 0; ///< The sender's steady clock when the datagram is sent, set by the socket.
     bool has_members = false;
     gossip_message members;
     bool has_list_update = false;
     target_list_update list_update;
+    bool has_tables = false;
+    tables_state tables;
     std::vector<target_load_update> load_updates;
 };
 
 /// The sender's tables, target list and members, for an instance that starts, possibly while the platform is
-/// unreachable, or that is behind.
+/// unreachable, or that is behind. Parts that the receiver has or does not want are absent: version 0, no
+/// members.
 struct peer_snapshot {
     routing_tables current_tables; ///< Version 0: the sender has none.
     std::uint64_t target_list_version = 0;
--- a/Libraries/Gateway/gateway/fleet_synchronizer.cpp
+++ b/Libraries/Gateway/gateway/fleet_synchronizer.cpp
@@ -17,6 +17,9 @@
 using std::chrono::milliseconds;
 using clock = std::chrono::steady_clock;
 
+/// Bounds the clocks that peers state, so that computing with them cannot overflow.
+constexpr std::uint64_t max_sent_ms = std::uint64_t{1} << 52U;
+
 /// How long the platform may hold a request for newer tables. TCP keep-alive detects a dead connection.
 constexpr auto tables_poll_timeout = milliseconds(20000);
 /// Delay after applying tables, so that a burst of changes is read in a few steps. It is a small part of the
@@ -27,17 +30,36 @@
 /// A platform that drops its history continues to do so for a while; until it stops, the complete tables are
 /// read at this interval.
 constexpr auto history_lost_delay = milliseconds(500);
-constexpr auto snapshot_timeout = milliseconds(800);
 constexpr auto registration_retry_delay = milliseconds(1500);
+/// An instance that does not watch the tables asks the platform itself after this silence.
+constexpr auto max_tables_silence = milliseconds(1500);
+/// Such instances, and those that have no target list yet, spread their questions over this time.
+constexpr auto question_spread = milliseconds(700);
+/// Longer than the retry delay of a watcher, whose success they are told of.
+constexpr auto non_watcher_retry_delay = milliseconds(2500);
+/// In a fleet that starts as a whole, the registrations are spread over this time, since the platform takes
+/// them one after the other.
+constexpr auto first_start_spread = milliseconds(2000);
+/// When the platform has not answered by then, a starting instance asks the seeds.
+constexpr auto seed_fetch_delay = milliseconds(300);
+constexpr auto join_check_interval = milliseconds(20);
+/// Collects the updates of one change before they are put in force.
+constexpr auto apply_delay = milliseconds(5);
 /// Delay before tables or a target list are fetched from a peer: the platform's response or the remaining
 /// updates of a change often arrive in the meantime.
 constexpr auto snapshot_fetch_delay = milliseconds(60);
-constexpr std::size_t max_snapshot_bytes = std::size_t{16} * 1024 * 1024;
+/// Added for each member of the zone, since all of them fetch from the same relays.
+constexpr auto snapshot_fetch_spread = milliseconds(2);
+/// How long a change that another zone announced may take to be announced by a relay of the own zone.
+constexpr auto relay_wait = milliseconds(300);
 constexpr std::size_t max_addresses = 64;
-constexpr char const* snapshot_path = "/snapshot";
+
+milliseconds random_up_to(milliseconds limit) {
+    return milliseconds(thread_random()() % static_cast<std::uint64_t>(limit.count() + 1));
+}
 
 milliseconds jittered(milliseconds base) {
-    return base + milliseconds(thread_random()() % static_cast<std::uint64_t>(base.count() / 2 + 1));
+    return base + random_up_to(base / 2);
 }
 
 std::uint32_t age_ms(clock::time_point time, clock::time_point now) {
@@ -51,10 +73,11 @@
                                        platform_store& store, instance_entry self)
     : m_thread(thread), m_state(state), m_target_client(targets), m_store(store),
       m_membership(std::move(self), membership_limits{}),
-      m_socket(thread.io(), state.settings.peer_address, state.counters),
-      m_peer_server(thread, state.settings.peer_address, http_limits{},
-                    [this](http_request& request) { return handle_peer_request(request); }),
-      m_peer_connections(thread.io(), 1, std::chrono::seconds(5)), m_homes(state.settings.homes),
+      m_socket(thread.io(), state.settings.peer_address, state.counters,
+               [this](endpoint const& receiver) { return m_plan.is_in_own_zone(receiver); }),
+      m_snapshots(thread, state.settings.peer_address, state.settings.zone, state.counters,
+                  [this](snapshot_request const& request) { return make_snapshot(request); }),
+      m_homes(state.settings.homes),
       m_load_exchange(state, m_homes, [this](fleet_datagram const& message, endpoint const& to) {
           m_socket.send(message, to);
       }) {}
@@ -62,7 +85,7 @@
 fleet_synchronizer::~fleet_synchronizer() = default;
 
 void fleet_synchronizer::start() {
-    m_peer_server.start();
+    m_snapshots.start();
     m_thread.spawn([this] {
         m_socket.receive(
             [this](auto const& message, auto const& sender) { handle_datagram(message, sender); });
@@ -92,13 +115,37 @@
 
 // Routing tables
 
+fleet_synchronizer::clock::time_point fleet_synchronizer::tables_confirmed_at() const {
+    return m_is_table_question_open ? clock::now() : m_tables_confirmed_at;
+}
+
+tables_state fleet_synchronizer::current_tables_state() const {
+    return {.version = tables_version(), .confirmed_age_ms = age_ms(tables_confirmed_at(), clock::now())};
+}
+
+void fleet_synchronizer::wait_until_joined() {
+    while (!m_stopping && m_joined_at == clock::time_point{}) {
+        boost::this_fiber::sleep_for(join_check_interval);
+    }
+}
+
 void fleet_synchronizer::watch_tables() {
     std::uint32_t failures = 0;
+    auto const max_silence = max_tables_silence + random_up_to(question_spread);
+    wait_until_joined();
     while (!m_stopping) {
+        auto const due = std::max(tables_confirmed_at(), m_joined_at) + max_silence;
+        if (auto const now = clock::now(); !m_plan.watches_tables() && now < due) {
+            boost::this_fiber::sleep_until(std::min(due, now + max_tables_silence / 4));
+            continue;
+        }
         try {
+            m_is_table_question_open = m_has_read_tables;
             auto result = m_has_read_tables
                               ? m_store.wait_for_newer_tables(m_tables_store_version, tables_poll_timeout)
                               : m_store.read_tables();
+            m_is_table_question_open = false;
+            m_tables_confirmed_at = clock::now();
             record_store_availability(true, "tables", "");
             failures = 0;
             m_tables_store_version = std::max(m_tables_store_version, result.store_version);
@@ -108,18 +155,31 @@
                 boost::this_fiber::sleep_for(table_change_delay);
             }
         } catch (history_lost const& failure) {
+            m_is_table_question_open = false;
             log_line(log_level::info, "tables_history_lost").field("reason", failure.what()).write();
             m_has_read_tables = false;
             boost::this_fiber::sleep_for(jittered(history_lost_delay));
         } catch (std::exception const& failure) {
+            m_is_table_question_open = false;
             m_state.counters.add(counter::table_reads_failed);
             record_store_availability(false, "tables", failure.what());
-            boost::this_fiber::sleep_for(
-                jittered(failures++ == 0 ? first_failure_retry_delay : failure_retry_delay));
+            auto const delay = m_plan.watches_tables() ? failure_retry_delay : non_watcher_retry_delay;
+            boost::this_fiber::sleep_for(jittered(failures++ == 0 ? first_failure_retry_delay : delay));
         }
     }
 }
 
+void fleet_synchronizer::handle_tables_state(tables_state const& state, endpoint const& sender,
+                                             clock::time_point sent_at) {
+    if (state.version > tables_version()) {
+        schedule_snapshot_fetch(sender,
+                                [this, version = state.version] { return tables_version() < version; });
+    } else if (state.version == tables_version()) {
+        m_tables_confirmed_at =
+            std::max(m_tables_confirmed_at, sent_at - milliseconds(state.confirmed_age_ms));
+    }
+}
+
 void fleet_synchronizer::apply_tables(routing_tables content, std::string_view source) {
     auto const current_version = m_state.routes.load()->tables().version;
     if (content.version <= current_version) {
@@ -133,6 +193,11 @@
         .write();
     m_state.counters.add(counter::tables_applied);
     m_state.routes.store(std::make_shared<route_index const>(std::move(content)));
+    if (m_plan.is_relay()) {
+        m_socket.send_to_all(
+            {.kind = datagram_kind::announcement, .has_tables = true, .tables = current_tables_state()},
+            m_plan.zone_members());
+    }
 }
 
 // Target list
@@ -149,6 +214,8 @@
 }
 
 void fleet_synchronizer::poll_targets() {
+    auto const first_list_wait = max_tables_silence + random_up_to(question_spread);
+    wait_until_joined();
     while (!m_stopping) {
         auto const rank = list_poll_schedule::poll_rank(
             {.id = m_membership.self().id, .processor_permille = m_membership.self().processor_permille},
@@ -160,6 +227,9 @@
                 boost::this_fiber::sleep_until(std::min(due, now + m_list_poll_schedule.max_list_age(0)));
                 continue;
             }
+        } else if (!m_plan.watches_tables() && clock::now() < m_joined_at + first_list_wait) {
+            boost::this_fiber::sleep_for(join_check_interval);
+            continue;
         }
         try {
             auto snapshot = m_store.read_targets();
@@ -168,14 +238,15 @@
             auto const previous = m_target_list.current();
             bool const had_snapshot = m_target_list.has_snapshot();
             if (!m_target_list.apply_platform_snapshot(std::move(snapshot), now)) {
-                broadcast_target_list_updates({current_target_list_update()});
+                broadcast_target_list_updates({current_target_list_update()}, m_plan.receivers());
                 continue;
             }
             apply_targets("store");
             broadcast_target_list_updates(
                 had_snapshot ? make_target_list_updates(previous, m_target_list.current(),
                                                         age_ms(m_target_list.read_at(), clock::now()))
-                             : std::vector{current_target_list_update()});
+                             : std::vector{current_target_list_update()},
+                m_plan.receivers());
         } catch (std::exception const& failure) {
             m_target_list.record_read_failure(clock::now());
             m_state.counters.add(counter::table_reads_failed);
@@ -191,12 +262,30 @@
             .list_age_ms = age_ms(m_target_list.read_at(), clock::now())};
 }
 
-void fleet_synchronizer::broadcast_target_list_updates(std::vector<target_list_update> updates) {
+void fleet_synchronizer::broadcast_target_list_updates(std::vector<target_list_update> updates,
+                                                       std::vector<endpoint> const& receivers) {
     for (auto& update : updates) {
-        broadcast({.has_list_update = true, .list_update = std::move(update)});
+        m_socket.send_to_all({.kind = datagram_kind::list_update,
+                              .has_list_update = true,
+                              .list_update = std::move(update),
+                              .has_tables = true,
+                              .tables = current_tables_state()},
+                             receivers);
     }
 }
 
+void fleet_synchronizer::schedule_apply_targets() {
+    if (m_is_apply_scheduled) {
+        return;
+    }
+    m_is_apply_scheduled = true;
+    m_thread.spawn([this] {
+        boost::this_fiber::sleep_for(apply_delay);
+        m_is_apply_scheduled = false;
+        apply_targets("peer");
+    });
+}
+
 void fleet_synchronizer::apply_targets(std::string_view source) {
     auto const& current = m_target_list.current();
     m_state.selector.set_targets(current.targets, clock::now());
@@ -214,32 +303,34 @@
         .write();
 }
 
-void fleet_synchronizer::handle_target_list_update(target_list_update const& update, endpoint const& sender) {
+bool fleet_synchronizer::handle_target_list_update(target_list_update const& update, endpoint const& sender,
+                                                   clock::time_point sent_at) {
     if (update.version == 0) {
-        return;
+        return false;
     }
-    auto const read_at = clock::now() - milliseconds(update.list_age_ms);
+    auto const read_at = sent_at - milliseconds(update.list_age_ms);
+    auto const previous_read_at = m_target_list.read_at();
     if (update.digest == m_target_list.digest()) {
         m_target_list.confirm_unchanged(update.version, update.digest, read_at);
-        return;
+        return m_target_list.read_at() > previous_read_at;
     }
     if (update.version < m_target_list.current().version) {
-        return;
+        return false;
     }
     if (auto next = apply_target_list_update(m_target_list.current(), m_target_list.digest(), update)) {
         // Only the last update of a change has the new version. Until it arrives the list is a mixture, so it
         // keeps the time of the previous list.
         bool const is_complete = next->version > m_target_list.current().version;
-        if (m_target_list.apply_peer_snapshot(std::move(*next),
-                                              is_complete ? read_at : m_target_list.read_at())) {
-            apply_targets("peer");
+        if (m_target_list.apply_peer_snapshot(std::move(*next), is_complete ? read_at : previous_read_at)) {
+            schedule_apply_targets();
         }
-        return;
+        return true;
     }
     if (update.version > m_target_list.current().version) {
         schedule_snapshot_fetch(
             sender, [this, version = update.version] { return m_target_list.current().version < version; });
     }
+    return false;
 }
 
 void fleet_synchronizer::run_load_update_loop() {
@@ -253,14 +344,29 @@
 
 // Membership
 
+void fleet_synchronizer::refresh_plan() {
+    auto const members = m_membership.view();
+    m_plan = distribution_plan(m_membership.self(), members);
+    m_homes.refresh(*m_state.routes.load(), members);
+    m_state.max_homes_per_host = m_homes.max_homes_per_host();
+    m_state.extra_attempts.set_home_count(
+        m_homes.is_home(m_membership.self().peer_address) ? m_homes.max_homes_per_host() : 0);
+}
+
+fleet_datagram fleet_synchronizer::make_announcement() {
+    return {.kind = datagram_kind::announcement,
+            .has_members = true,
+            .members = m_membership.make_gossip_message(tables_version(), thread_random()),
+            .has_list_update = true,
+            .list_update = current_target_list_update()};
+}
+
 void fleet_synchronizer::join_fleet() {
-    // The seeds may be reachable while the platform is not.
-    for (auto const& seed : m_state.settings.seed_addresses) {
-        endpoint const peer{seed, m_state.settings.peer_address.port};
-        if (peer != m_state.settings.peer_address && !is_ready()) {
-            m_thread.spawn([this, peer] { fetch_snapshot(peer); });
-        }
+    auto const& settings = m_state.settings;
+    if (settings.is_first_start && settings.processor_permille < settings.homes.min_processor_permille) {
+        boost::this_fiber::sleep_for(random_up_to(first_start_spread));
     }
+    m_thread.spawn([this] { fetch_first_snapshot(); });
     bool registered = false;
     while (!m_stopping && !registered) {
         try {
@@ -268,18 +374,15 @@
             auto const entries = m_store.instances().list_instances();
             m_membership.merge_platform_list(entries, clock::now());
             registered = true;
+            refresh_plan();
             log_line(log_level::info, "members_read")
                 .field("members", static_cast<std::uint64_t>(entries.size()))
                 .write();
-            // Announces this instance to all members immediately; gossip keeps the entry alive afterwards.
-            fleet_datagram const announcement{.has_members = true,
-                                              .members = m_membership.make_gossip_message(0, thread_random()),
-                                              .has_list_update = true,
-                                              .list_update = current_target_list_update()};
-            for (auto const& entry : entries) {
-                if (entry.id != m_membership.self().id) {
-                    m_socket.send(announcement, entry.peer_address);
-                }
+            // Gossip keeps the entry alive afterwards.
+            m_socket.send_to_all(make_announcement(), m_plan.receivers());
+            m_joined_at = clock::now();
+            if (auto const relay = m_plan.zone_relay(); relay && !m_plan.watches_tables()) {
+                fetch_snapshot(*relay, false);
             }
         } catch (std::exception const& failure) {
             record_store_availability(false, "members", failure.what());
@@ -288,6 +391,20 @@
     }
 }
 
+void fleet_synchronizer::fetch_first_snapshot() {
+    boost::this_fiber::sleep_for(jittered(seed_fetch_delay));
+    if (m_joined_at == clock::time_point{}) {
+        m_joined_at = clock::now();
+    }
+    // The seeds may be reachable while the platform is not.
+    for (auto const& seed : m_state.settings.seed_addresses) {
+        endpoint const peer{seed, m_state.settings.peer_address.port};
+        if (peer != m_state.settings.peer_address && !is_ready() && !m_plan.zone_relay()) {
+            fetch_snapshot(peer, true);
+        }
+    }
+}
+
 void fleet_synchronizer::run_gossip_loop() {
     auto const period = membership_limits{}.heartbeat_period;
     std::uint32_t unready_rounds = 0;
@@ -297,104 +414,127 @@
             m_state.counters.add(counter::pauses_detected);
             log_line(log_level::warning, "pause_detected").write();
         }
-        fleet_datagram const message{.has_members = true,
-                                     .members = m_membership.make_gossip_message(
-                                         m_state.routes.load()->tables().version, thread_random()),
-                                     .has_list_update = true,
-                                     .list_update = current_target_list_update()};
+        std::vector<endpoint> receivers;
         for (auto const& receiver : m_membership.choose_gossip_peers(thread_random())) {
-            m_socket.send(message, receiver.peer_address);
+            receivers.push_back(receiver.peer_address);
         }
-        auto const members = m_membership.view();
-        m_homes.refresh(*m_state.routes.load(), members);
-        m_state.extra_attempts.set_instance_count(members.size());
-        m_state.max_homes_per_host = m_homes.max_homes_per_host();
+        m_socket.send_to_all({.kind = datagram_kind::heartbeat,
+                              .has_members = true,
+                              .members = m_membership.make_gossip_message(tables_version(), thread_random()),
+                              .has_list_update = true,
+                              .list_update = current_target_list_update(),
+                              .has_tables = true,
+                              .tables = current_tables_state()},
+                             receivers);
+        refresh_plan();
         if (!is_ready() && ++unready_rounds % 4 == 0 && !m_is_fetching_snapshot) {
-            std::vector<endpoint> peers;
-            for (auto const& seed : m_state.settings.seed_addresses) {
-                peers.push_back({seed, m_state.settings.peer_address.port});
-            }
-            for (auto const& member : members) {
-                peers.push_back(member.entry.peer_address);
-            }
-            std::erase(peers, m_state.settings.peer_address);
-            if (!peers.empty()) {
-                auto const peer = peers[thread_random()() % peers.size()];
-                m_thread.spawn([this, peer] { fetch_snapshot(peer); });
+            if (auto const peer = choose_snapshot_peer(unready_rounds / 4)) {
+                m_thread.spawn([this, peer = *peer] { fetch_snapshot(peer, true); });
             }
         }
     }
 }
 
-void fleet_synchronizer::broadcast(fleet_datagram const& message) {
-    std::vector<endpoint> receivers;
+std::optional<endpoint> fleet_synchronizer::choose_snapshot_peer(std::uint32_t round) const {
+    if (auto const relay = m_plan.zone_relay(); relay && round % 2 == 1) {
+        return relay;
+    }
+    std::vector<endpoint> peers;
+    for (auto const& seed : m_state.settings.seed_addresses) {
+        peers.push_back({seed, m_state.settings.peer_address.port});
+    }
     for (auto const& member : m_membership.view()) {
-        if (member.entry.id != m_membership.self().id) {
-            receivers.push_back(member.entry.peer_address);
-        }
+        peers.push_back(member.entry.peer_address);
+    }
+    std::erase(peers, m_state.settings.peer_address);
+    if (peers.empty()) {
+        return std::nullopt;
     }
-    m_socket.send_to_all(message, receivers);
+    return peers[thread_random()() % peers.size()];
 }
 
 void fleet_synchronizer::handle_datagram(fleet_datagram const& message, std::string const& sender_ip) {
     endpoint const sender{sender_ip, m_state.settings.peer_address.port};
+    auto const now = clock::now();
+    milliseconds const sender_clock(std::min(message.sent_ms, max_sent_ms));
+    auto const sent_at = now - m_transit_delays.extra_delay(sender_ip, sender_clock, now);
+    bool const forwards = m_plan.forwards_from(sender);
     if (message.has_members) {
-        m_membership.apply_gossip(message.members, clock::now());
-        if (auto const version = message.members.tables_version;
-            version > m_state.routes.load()->tables().version) {
-            schedule_snapshot_fetch(
-                sender, [this, version] { return m_state.routes.load()->tables().version < version; });
+        m_membership.apply_gossip(message.members, now);
+        if (forwards && message.kind == datagram_kind::announcement) {
+            m_socket.send_to_all(
+                {.kind = datagram_kind::announcement, .has_members = true, .members = message.members},
+                m_plan.zone_members());
         }
     }
-    if (message.has_list_update) {
-        handle_target_list_update(message.list_update, sender);
+    if (message.has_tables) {
+        handle_tables_state(message.tables, sender, sent_at);
+    }
+    if (message.has_list_update && handle_target_list_update(message.list_update, sender, sent_at) &&
+        forwards && message.kind == datagram_kind::list_update) {
+        auto update = message.list_update;
+        update.list_age_ms = age_ms(sent_at - milliseconds(update.list_age_ms), now);
+        broadcast_target_list_updates({std::move(update)},
+                                      {m_plan.zone_members().begin(), m_plan.zone_members().end()});
     }
     if (!message.load_updates.empty()) {
         m_load_exchange.receive(message.load_updates, sender);
     }
 }
 
-void fleet_synchronizer::schedule_snapshot_fetch(endpoint const& peer, std::function<bool()> is_behind) {
-    if (m_is_fetch_scheduled) {
+void fleet_synchronizer::schedule_snapshot_fetch(endpoint const& sender, std::function<bool()> is_behind) {
+    auto const source = m_plan.fetch_source(sender);
+    bool& is_scheduled = source ? m_is_fetch_scheduled : m_is_relay_wait_scheduled;
+    if (is_scheduled) {
         return;
     }
-    m_is_fetch_scheduled = true;
-    m_thread.spawn([this, peer, is_behind = std::move(is_behind)] {
-        boost::this_fiber::sleep_for(jittered(snapshot_fetch_delay));
-        m_is_fetch_scheduled = false;
-        if (is_behind()) {
-            fetch_snapshot(peer);
+    is_scheduled = true;
+    auto const spread = snapshot_fetch_spread * static_cast<int>(m_plan.zone_members().size());
+    auto const delay = (source ? snapshot_fetch_delay : relay_wait) + random_up_to(spread);
+    m_thread.spawn([this, sender, source, &is_scheduled, delay, is_behind = std::move(is_behind)] {
+        boost::this_fiber::sleep_for(delay);
+        is_scheduled = false;
+        if (!is_behind()) {
+            return;
+        }
+        auto const first = source ? *source : m_plan.zone_relay().value_or(sender);
+        fetch_snapshot(first, false);
+        if (first != sender && is_behind()) {
+            fetch_snapshot(sender, false);
         }
     });
 }
 
-bool fleet_synchronizer::fetch_snapshot(endpoint const& peer) {
+bool fleet_synchronizer::fetch_snapshot(endpoint const& peer, bool with_members) {
     if (m_is_fetching_snapshot || m_stopping) {
         return false;
     }
     m_is_fetching_snapshot = true;
     bool succeeded = false;
     try {
-        auto const deadline = clock::now() + snapshot_timeout;
-        auto connection = m_peer_connections.acquire_idle(peer);
-        if (connection == nullptr) {
-            connection = m_peer_connections.open(peer, deadline);
+        auto const started = clock::now();
+        auto snapshot = m_snapshots.fetch(peer, {.tables_version = tables_version(),
+                                                 .target_list_version = m_target_list.current().version,
+                                                 .with_members = with_members,
+                                                 .zone = m_state.settings.zone});
+        if (!snapshot.members.empty()) {
+            m_membership.merge_platform_list(snapshot.members, clock::now());
         }
-        http_request request(boost::beast::http::verb::get, snapshot_path, 11);
-        set_header_field(request, "Host", to_string(peer));
-        auto const response = connection->exchange(request, max_snapshot_bytes, deadline);
-        m_peer_connections.release(peer, std::move(connection));
-        auto snapshot = decode_snapshot(response.body());
-        auto const now = clock::now();
-        m_membership.merge_platform_list(snapshot.members, now);
         if (snapshot.current_tables.version > 0) {
             apply_tables(std::move(snapshot.current_tables), "peer");
         }
+        auto const previous = m_target_list.current();
         if (snapshot.target_list_version > 0 &&
             m_target_list.apply_peer_snapshot(
                 {.version = snapshot.target_list_version, .targets = std::move(snapshot.targets)},
-                now - milliseconds(snapshot.target_list_age_ms))) {
+                started - milliseconds(snapshot.target_list_age_ms))) {
             apply_targets("peer");
+            if (m_plan.forwards_from(peer)) {
+                broadcast_target_list_updates(
+                    make_target_list_updates(previous, m_target_list.current(),
+                                             age_ms(m_target_list.read_at(), clock::now())),
+                    {m_plan.zone_members().begin(), m_plan.zone_members().end()});
+            }
         }
         succeeded = true;
     } catch (std::exception const& failure) {
@@ -407,19 +547,22 @@
     return succeeded;
 }
 
-http_response fleet_synchronizer::handle_peer_request(http_request const& request) const {
-    if (request.target() != snapshot_path) {
-        return make_response(404, "text/plain", "");
+peer_snapshot fleet_synchronizer::make_snapshot(snapshot_request const& request) const {
+    peer_snapshot snapshot;
+    if (tables_version() > request.tables_version) {
+        snapshot.current_tables = m_state.routes.load()->tables();
     }
-    peer_snapshot snapshot{.current_tables = m_state.routes.load()->tables(),
-                           .target_list_version = m_target_list.current().version,
-                           .target_list_age_ms = age_ms(m_target_list.read_at(), clock::now()),
-                           .targets = m_target_list.current().targets,
-                           .members = {}};
-    for (auto const& member : m_membership.view()) {
-        snapshot.members.push_back(member.entry);
+    if (m_target_list.current().version > request.target_list_version) {
+        snapshot.target_list_version = m_target_list.current().version;
+        snapshot.target_list_age_ms = age_ms(m_target_list.read_at(), clock::now());
+        snapshot.targets = m_target_list.current().targets;
+    }
+    if (request.with_members) {
+        for (auto const& member : m_membership.view()) {
+            snapshot.members.push_back(member.entry);
+        }
     }
-    return make_response(200, "application/octet-stream", encode_snapshot(snapshot));
+    return snapshot;
 }
 
 std::vector<endpoint> fleet_synchronizer::addresses_for(address_query const& query) const {
@@ -429,11 +572,7 @@
 
 void fleet_synchronizer::announce_leaving() {
     m_membership.set_leaving();
-    broadcast({.has_members = true,
-               .members =
-                   m_membership.make_gossip_message(m_state.routes.load()->tables().version, thread_random()),
-               .has_list_update = true,
-               .list_update = current_target_list_update()});
+    m_socket.send_to_all(make_announcement(), m_plan.receivers());
     m_thread.spawn([this] {
         try {
             m_store.instances().deregister_instance(m_membership.self().id);
@@ -445,8 +584,25 @@
 
 void fleet_synchronizer::stop() {
     m_stopping = true;
+    log_fleet_bytes();
     m_socket.close();
-    m_peer_server.stop_listening();
+    m_snapshots.stop();
+}
+
+void fleet_synchronizer::log_fleet_bytes() const {
+    auto const& counters = m_state.counters;
+    log_line(log_level::info, "fleet_bytes")
+        .field("heartbeat_bytes_own_zone", counters.value(counter::heartbeat_bytes_own_zone))
+        .field("heartbeat_bytes_other_zones", counters.value(counter::heartbeat_bytes_other_zones))
+        .field("announcement_bytes_own_zone", counters.value(counter::announcement_bytes_own_zone))
+        .field("announcement_bytes_other_zones", counters.value(counter::announcement_bytes_other_zones))
+        .field("list_update_bytes_own_zone", counters.value(counter::list_update_bytes_own_zone))
+        .field("list_update_bytes_other_zones", counters.value(counter::list_update_bytes_other_zones))
+        .field("load_update_bytes_own_zone", counters.value(counter::load_update_bytes_own_zone))
+        .field("load_update_bytes_other_zones", counters.value(counter::load_update_bytes_other_zones))
+        .field("snapshot_bytes_own_zone", counters.value(counter::snapshot_bytes_own_zone))
+        .field("snapshot_bytes_other_zones", counters.value(counter::snapshot_bytes_other_zones))
+        .write();
 }
 
 std::string fleet_synchronizer::status_json() const {
--- a/Libraries/Gateway/gateway/fleet_synchronizer.hpp
+++ b/Libraries/Gateway/gateway/fleet_synchronizer.hpp
@@ -2,21 +2,23 @@
 // reachable, and from other instances that have newer versions.
 #pragma once
 
+#include "coordination/distribution_plan.hpp"
 #include "coordination/list_poll_schedule.hpp"
 #include "coordination/membership.hpp"
 #include "coordination/platform_store.hpp"
 #include "coordination/target_list_cache.hpp"
+#include "coordination/transit_delay_estimator.hpp"
 #include "gateway/fleet_datagram_socket.hpp"
 #include "gateway/fleet_messages.hpp"
 #include "gateway/forwarding_state.hpp"
 #include "gateway/load_exchange.hpp"
+#include "gateway/snapshot_exchange.hpp"
 #include "gateway/target_client.hpp"
-#include "protocol/http_connection.hpp"
-#include "protocol/http_server.hpp"
 #include "transport/io_thread.hpp"
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace pomelospread {
@@ -24,6 +26,8 @@
 /// Runs on one thread; every method except the constructor is called from fibers of that thread.
 class fleet_synchronizer {
 public:
+    using clock = std::chrono::steady_clock;
+
     fleet_synchronizer(io_thread& thread, forwarding_state& state, target_client& targets,
                        platform_store& store, instance_entry self);
     ~fleet_synchronizer();
@@ -43,21 +47,37 @@
     void watch_tables();
     void poll_targets();
     void join_fleet();
+    void fetch_first_snapshot();
     void run_gossip_loop();
     void run_load_update_loop();
+    void wait_until_joined();
+    /// Recomputes what follows from the members: the paths of changes, the homes, the budgets.
+    void refresh_plan();
+    /// Whom to ask while this instance is not ready: in turn a relay of its zone and anybody.
+    [[nodiscard]] std::optional<endpoint> choose_snapshot_peer(std::uint32_t round) const;
+    void log_fleet_bytes() const;
     void handle_datagram(fleet_datagram const& message, std::string const& sender_ip);
-    void handle_target_list_update(target_list_update const& update, endpoint const& sender);
-    /// After a short delay, fetches the snapshot of `peer` if `is_behind` returns true then. Does nothing
-    /// while another fetch is scheduled.
-    void schedule_snapshot_fetch(endpoint const& peer, std::function<bool()> is_behind);
+    /// Returns whether the list is newer or more recently read than before.
+    bool handle_target_list_update(target_list_update const& update, endpoint const& sender,
+                                   clock::time_point sent_at);
+    void handle_tables_state(tables_state const& state, endpoint const& sender, clock::time_point sent_at);
+    /// Fetches the snapshot of `sender`, or of a relay of this zone, if `is_behind` returns true after a
+    /// short delay. Does nothing while another such fetch is scheduled.
+    void schedule_snapshot_fetch(endpoint const& sender, std::function<bool()> is_behind);
     /// Fetches a peer's snapshot and applies what is newer than here. Returns whether the fetch succeeded.
-    bool fetch_snapshot(endpoint const& peer);
+    bool fetch_snapshot(endpoint const& peer, bool with_members);
     void apply_tables(routing_tables content, std::string_view source);
     void apply_targets(std::string_view source);
-    void broadcast_target_list_updates(std::vector<target_list_update> updates);
-    void broadcast(fleet_datagram const& message);
+    void schedule_apply_targets();
+    void broadcast_target_list_updates(std::vector<target_list_update> updates,
+                                       std::vector<endpoint> const& receivers);
+    [[nodiscard]] fleet_datagram make_announcement();
     [[nodiscard]] target_list_update current_target_list_update() const;
-    [[nodiscard]] http_response handle_peer_request(http_request const& request) const;
+    [[nodiscard]] tables_state current_tables_state() const;
+    /// When this instance last knew that the platform had no newer tables.
+    [[nodiscard]] clock::time_point tables_confirmed_at() const;
+    [[nodiscard]] std::uint64_t tables_version() const { return m_state.routes.load()->tables().version; }
+    [[nodiscard]] peer_snapshot make_snapshot(snapshot_request const& request) const;
     [[nodiscard]] std::vector<poll_candidate> live_members() const;
     void record_store_availability(bool is_available, std::string_view call, std::string_view reason);
 
@@ -68,16 +88,22 @@
     membership m_membership;
     target_list_cache m_target_list;
     list_poll_schedule m_list_poll_schedule;
+    distribution_plan m_plan;
+    transit_delay_estimator m_transit_delays;
     fleet_datagram_socket m_socket;
-    http_server m_peer_server;
-    connection_cache m_peer_connections;
+    snapshot_exchange m_snapshots;
     home_directory m_homes;
     load_exchange m_load_exchange;
     std::uint64_t m_tables_store_version = 0;
     bool m_has_read_tables = false; ///< From the platform, since the start or the last `history_lost`.
     bool m_is_store_available = true;
+    bool m_is_table_question_open = false; ///< The platform holds a question of this instance.
+    clock::time_point m_tables_confirmed_at{};
+    clock::time_point m_joined_at{}; ///< The first attempt to join the fleet has ended.
     bool m_is_fetching_snapshot = false;
     bool m_is_fetch_scheduled = false;
+    bool m_is_relay_wait_scheduled = false;
+    bool m_is_apply_scheduled = false;
     bool m_stopping = false;
 };
 
--- a/Libraries/Gateway/gateway/forwarding_state.cpp
+++ b/Libraries/Gateway/gateway/forwarding_state.cpp
@@ -4,8 +4,8 @@
 
 namespace pomelospread {
 
-void extra_attempt_budgets::set_instance_count(std::size_t count) {
-    m_instance_burst = std::max(1.0, m_fleet_burst / static_cast<double>(std::max<std::size_t>(1, count)));
+void extra_attempt_budgets::set_home_count(std::size_t count) {
+    m_instance_burst = count == 0 ? 1.0 : std::max(1.0, m_fleet_burst / static_cast<double>(count));
     for (auto& [pool, budget] : m_budgets) {
         budget->set_burst(m_instance_burst);
     }
--- a/Libraries/Gateway/gateway/forwarding_state.hpp
+++ b/Libraries/Gateway/gateway/forwarding_state.hpp
@@ -18,12 +18,14 @@
 namespace pomelospread {
 
 /// The budgets of extra attempts (retries and hedges), one per pool. The ratio holds for the fleet when each
-/// instance keeps it over its own requests; the burst is divided among the instances.
+/// instance keeps it over its own requests. The burst is divided among the homes, since other instances
+/// receive hardly any requests; one of those can accumulate a single extra attempt.
 class extra_attempt_budgets {
 public:
     extra_attempt_budgets(double ratio, double fleet_burst) : m_ratio(ratio), m_fleet_burst(fleet_burst) {}
 
-    void set_instance_count(std::size_t count);
+    /// The number of homes that share the burst when this instance is one of them, else 0.
+    void set_home_count(std::size_t count);
     [[nodiscard]] ratio_budget& budget_for(std::string const& pool);
 
 private:
--- a/Libraries/Gateway/gateway/home_directory.cpp
+++ b/Libraries/Gateway/gateway/home_directory.cpp
@@ -60,6 +60,11 @@
     return addresses;
 }
 
+bool home_directory::is_home(endpoint const& peer_address) const {
+    return std::ranges::any_of(m_peer_addresses,
+                               [&](auto const& entry) { return entry.second.contains(peer_address); });
+}
+
 std::set<endpoint> const& home_directory::peer_addresses_for_pool(std::string const& pool) const {
     static std::set<endpoint> const no_addresses;
     auto const found = m_peer_addresses.find(pool);
--- a/Libraries/Gateway/gateway/home_directory.hpp
+++ b/Libraries/Gateway/gateway/home_directory.hpp
@@ -31,6 +31,8 @@
                                                       std::size_t count) const;
     /// The largest number of homes, over all zones, that the callers of any one host have.
     [[nodiscard]] std::size_t max_homes_per_host() const noexcept { return m_max_homes_per_host; }
+    /// Whether the instance at this peer address is a home of any pool.
+    [[nodiscard]] bool is_home(endpoint const& peer_address) const;
     /// The peer addresses of the pool's homes in all zones.
     [[nodiscard]] std::set<endpoint> const& peer_addresses_for_pool(std::string const& pool) const;
 
--- a/Libraries/Gateway/gateway/load_exchange.cpp
+++ b/Libraries/Gateway/gateway/load_exchange.cpp
@@ -62,7 +62,8 @@
             }
         }
     }
-    for (auto const& [peer, message] : messages) {
+    for (auto& [peer, message] : messages) {
+        message.kind = datagram_kind::load_update;
         m_send(message, peer);
     }
 }
--- a/Libraries/Gateway/gateway/target_list_updates.cpp
+++ b/Libraries/Gateway/gateway/target_list_updates.cpp
@@ -10,7 +10,7 @@
 constexpr std::size_t max_entries_per_update = 8;
 /// Sending more updates to the entire fleet would take longer than sending the complete list to a few
 /// instances.
-constexpr std::size_t max_updates = 16;
+constexpr std::size_t max_updates = 48;
 
 } // namespace
 
