Protocol: Bound what a response without end may take, also when its length is a lie

Cause 1: a response that states a length beyond the limit, and whose first body bytes arrive together with its header, ended the whole process with std::bad_alloc: the parser of Boost 1.74 goes on to the body although its limit was exceeded, and the body reader reserves the stated length. Targets, peers and the platform could send it. Cause 2: a chunk extension without end was buffered until the request's deadline, as fast as it came.

Change: the header is read by itself (`read_message`), and the read buffers hold 128 KiB at most.

--- a/Libraries/Gateway/gateway/caller_server.hpp
+++ b/Libraries/Gateway/gateway/caller_server.hpp
@@ -55,6 +55,7 @@
     /// in progress are still completed. Call from a fiber of the server's thread.
     void stop_listening();
 
+    [[nodiscard]] endpoint local_address() const { return m_acceptor.local_address(); }
     [[nodiscard]] std::size_t open_connection_count() const noexcept { return m_connections.size(); }
 
 private:
--- a/Libraries/Gateway/gateway/target_client.cpp
+++ b/Libraries/Gateway/gateway/target_client.cpp
@@ -1,5 +1,6 @@
 #include "gateway/target_client.hpp"
 
+#include "protocol/message_reading.hpp"
 #include "transport/listener.hpp"
 #include "transport/socket_options.hpp"
 #include "transport/use_fiber.hpp"
@@ -52,7 +53,7 @@
     }
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{max_buffered_bytes};
     steady_time usable_until{};
     bool write_done = true;
     bool write_failed = false;
@@ -145,7 +146,7 @@
         parser.body_limit(m_limits.max_response_bytes);
         parser.skip(request.method() == http::verb::head);
         boost::system::error_code error;
-        http::async_read(target_connection.stream, target_connection.buffer, parser, use_fiber(error));
+        read_message(target_connection.stream, target_connection.buffer, parser, error);
         if (error) {
             return {.outcome = exchange_outcome::incomplete,
                     .failure_reason = error == beast::error::timeout
--- a/Libraries/Protocol/protocol/http_connection.cpp
+++ b/Libraries/Protocol/protocol/http_connection.cpp
@@ -1,5 +1,6 @@
 #include "protocol/http_connection.hpp"
 
+#include "protocol/message_reading.hpp"
 #include "transport/listener.hpp"
 #include "transport/socket_options.hpp"
 #include "transport/use_fiber.hpp"
@@ -64,7 +65,7 @@
     }
     if (first_response.get().result() != http::status::continue_) {
         m_stream.expires_at(deadline);
-        http::async_read(m_stream, m_read_buffer, first_response, use_fiber(error));
+        read_message(m_stream, m_read_buffer, first_response, error);
         close();
         if (error) {
             throw request_not_executed("refused before the body: " + error.message());
@@ -86,7 +87,7 @@
     parser.skip(head_request);
     boost::system::error_code error;
     m_stream.expires_at(deadline);
-    http::async_read(m_stream, m_read_buffer, parser, use_fiber(error));
+    read_message(m_stream, m_read_buffer, parser, error);
     if (error) {
         close_and_throw("reading the answer", error);
     }
--- a/Libraries/Protocol/protocol/http_connection.hpp
+++ b/Libraries/Protocol/protocol/http_connection.hpp
@@ -58,7 +58,7 @@
     [[noreturn]] void close_and_throw(char const* operation, boost::system::error_code error);
 
     boost::beast::tcp_stream m_stream;
-    boost::beast::flat_buffer m_read_buffer;
+    boost::beast::flat_buffer m_read_buffer{max_buffered_bytes};
     bool m_reusable = false;
     std::size_t m_bytes_written = 0;
     steady_time m_last_used;
--- a/Libraries/Protocol/protocol/http_server.cpp
+++ b/Libraries/Protocol/protocol/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "base/errors.hpp"
 #include "base/log.hpp"
+#include "protocol/message_reading.hpp"
 #include "transport/use_fiber.hpp"
 
 #include <boost/beast/http.hpp>
@@ -27,7 +28,7 @@
     explicit session(asio::ip::tcp::socket socket) : stream(std::move(socket)) {}
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{max_buffered_bytes};
 };
 
 http_server::http_server(io_thread& thread, endpoint const& address, http_limits limits, handler on_request)
@@ -95,7 +96,7 @@
         http::async_write(current.stream, continue_response, use_fiber(error));
     }
     if (!error) {
-        http::async_read(current.stream, current.buffer, parser, use_fiber(error));
+        read_message(current.stream, current.buffer, parser, error);
     }
     std::optional<http_response> response;
     bool keep_alive = false;
--- a/Libraries/Protocol/protocol/http_types.hpp
+++ b/Libraries/Protocol/protocol/http_types.hpp
@@ -10,6 +10,10 @@
 
 namespace pomelospread {
 
+/// Bytes of a message that may be read ahead of the parser. It consumes a body at once, but needs a header or
+/// a chunk's extension to be complete; a longer one ends the connection with an error.
+constexpr std::size_t max_buffered_bytes = std::size_t{128} * 1024;
+
 using http_request = boost::beast::http::request<boost::beast::http::string_body>;
 using http_response = boost::beast::http::response<boost::beast::http::string_body>;
 using steady_time = std::chrono::steady_clock::time_point;
--- /dev/null
+++ b/Libraries/Protocol/protocol/message_reading.hpp
@@ -0,0 +1,27 @@
+// Reads an HTTP message from a connection, within the limits of its parser.
+#pragma once
+
+#include "transport/use_fiber.hpp"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/read.hpp>
+
+namespace pomelospread {
+
+/// Reads the rest of the parser's message; `error` tells how it ended. Suspends the calling fiber. The header
+/// is read by itself: when bytes of the body arrive with it, the parser of Boost 1.74 passes over a stated
+/// length beyond its limit, and a body reader then reserves that length.
+template<class Parser>
+void read_message(boost::beast::tcp_stream& stream, boost::beast::flat_buffer& buffer, Parser& parser,
+                  boost::system::error_code& error) {
+    error = {};
+    if (!parser.is_header_done()) {
+        boost::beast::http::async_read_header(stream, buffer, parser, use_fiber(error));
+    }
+    if (!error && !parser.is_done()) {
+        boost::beast::http::async_read(stream, buffer, parser, use_fiber(error));
+    }
+}
+
+} // namespace pomelospread
--- /dev/null
+++ b/Tests/Gateway/test_caller_server.cpp
@@ -0,0 +1,90 @@
+#include "gateway/caller_server.hpp"
+#include "transport/io_thread.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <memory>
+#include <string>
+
+using namespace pomelospread;
+
+namespace {
+
+namespace asio = boost::asio;
+
+struct oversized_request {
+    char const* name;
+    std::string bytes;
+    char const* status_line;
+};
+
+std::string const start = "POST / HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n";
+
+oversized_request const oversized_requests[] = {
+    {"a stated length", start + "Content-Length: 99999999999\r\n\r\n", "HTTP/1.1 413"},
+    {"a stated length, with a body like header fields",
+     start + "Content-Length: 99999999999\r\n\r\nX: a\r\n\r\n", "HTTP/1.1 413"},
+    {"a stated length, with the first bytes of the body", start + "Content-Length: 99999999999\r\n\r\nabcde",
+     "HTTP/1.1 413"},
+    {"chunks", start + "Transfer-Encoding: chunked\r\n\r\nfffffff\r\na", "HTTP/1.1 413"},
+    {"a header", start + "X: " + std::string(40000, 'a') + "\r\n\r\n", "HTTP/1.1 431"},
+};
+
+} // namespace
+
+TEST_GROUP(caller_server_requests) {
+    io_thread thread{"test"};
+    int handled_count = 0; // The thread changes it only while the test waits for a response.
+    std::unique_ptr<caller_server> server;
+
+    void setup() override {
+        thread.run_and_wait([this] {
+            server = std::make_unique<caller_server>(
+                thread, endpoint{"127.0.0.1", 0},
+                caller_server_callbacks{.handle =
+                                            [this](http_request&, disconnect_notifier&, steady_time) {
+                                                ++handled_count;
+                                                return make_response(200, "text/plain", "done");
+                                            },
+                                        .may_run_concurrently = [](http_request const&) { return true; },
+                                        .limits = [] { return caller_limits{}; }});
+            server->start();
+        });
+    }
+
+    void teardown() override {
+        thread.run_and_wait([this] { server->stop_listening(); });
+        thread.stop();
+    }
+
+    /// The bytes that the server sends until it closes.
+    std::string response_to(std::string const& request) const {
+        asio::io_context io;
+        asio::ip::tcp::socket socket(io);
+        auto const address = server->local_address();
+        socket.connect({asio::ip::make_address(address.address), address.port});
+        boost::system::error_code error;
+        asio::write(socket, asio::buffer(request), error);
+        std::string response;
+        asio::read(socket, asio::dynamic_buffer(response), error);
+        return response;
+    }
+};
+
+TEST(caller_server_requests, requests_beyond_the_limits_are_refused_with_their_status_and_not_handled) {
+    for (auto const& each : oversized_requests) {
+        auto const response = response_to(each.bytes);
+        STRCMP_CONTAINS_TEXT(each.status_line, response.c_str(), each.name);
+        LONGS_EQUAL_TEXT(0, handled_count, each.name);
+    }
+}
+
+TEST(caller_server_requests, a_request_within_the_limits_is_handled) {
+    auto const response = response_to(start + "Content-Length: 5\r\n\r\nabcde");
+    STRCMP_CONTAINS("HTTP/1.1 200", response.c_str());
+    LONGS_EQUAL(1, handled_count);
+}
