Choice: Leave the last free slot of a target to one home at a time

Ruled out: wrong counts (they were right 20 ms later), old load reports (63 of 100 sends had one younger than 25 ms).

Change: homes rank themselves for each target by rendezvous hashing (`slot_claims`, decision code). For 40 ms after the last change of a target's load, and 15 ms more for each further rank, a home leaves one slot to those before it; an idle pool is not affected. A request whose target turns out slow or full after the probes waits again, twice at most, instead of being sent there.

Tests: a_slot_that_becomes_free_is_used_by_one_home_at_a_time (eight homes without claims use it at once), claims_do_not_hold_back_requests_while_targets_are_idle, fair shares.

--- a/Libraries/Coordination/coordination/target_selector.cpp
+++ b/Libraries/Coordination/coordination/target_selector.cpp
@@ -67,6 +67,20 @@
     }
 }
 
+void target_selector::set_slot_claims(std::string_view pool, endpoint const& self,
+                                      std::set<endpoint> const& homes) {
+    for (auto& [id, state] : m_targets) {
+        if (state.listed.pool == pool) {
+            state.slot_claim_rank = pomelospread::slot_claim_rank(id, self, homes);
+        }
+    }
+}
+
+double target_selector::claimed_by_others(target_state const& state, time_point now) const {
+    return now - state.load_changed_at < slot_claim_delay(state.slot_claim_rank, m_policy.slot_claims) ? 1.0
+                                                                                                       : 0.0;
+}
+
 std::string const* target_selector::find_by_hash(std::uint32_t hash) const {
     auto const found = m_id_by_hash.find(hash);
     return found == m_id_by_hash.end() ? nullptr : &found->second;
@@ -154,6 +168,9 @@
         state.peer_counts.push_back({.peer = peer});
         known = std::prev(state.peer_counts.end());
     }
+    if (known->in_flight != in_flight) {
+        state.load_changed_at = now;
+    }
     known->in_flight = in_flight;
     known->received_at = now;
     for (std::uint32_t i = 0; i < std::min(failures, 3U); ++i) {
@@ -175,7 +192,7 @@
 target_selector::estimate_candidate(target_state const& state, pool_state const& pool, time_point now) const {
     auto const typical_ms = pool.typical_service_ms > 0 ? pool.typical_service_ms : default_service_ms;
     double slowdown = pool.mean_slowdown;
-    double const others = other_in_flight(state, now);
+    double const others = other_in_flight(state, now) + claimed_by_others(state, now);
     candidate_estimate estimate{.target = &state};
     if (state.reported_at) {
         auto const age = now - *state.reported_at;
@@ -271,8 +288,10 @@
     std::erase_if(estimates, [&](auto const& each) {
         return each.expected_ms > least * (1.0 + m_policy.tie_tolerance);
     });
-    auto chosen = make_choice(estimates[random() % estimates.size()]);
+    auto const& estimate = estimates[random() % estimates.size()];
+    auto chosen = make_choice(estimate);
     chosen.candidate_count = candidates;
+    chosen.is_eligible = is_eligible(estimate, least_before_filter);
     return chosen;
 }
 
@@ -312,9 +331,10 @@
     }
 }
 
-void target_selector::attempt_started(std::string const& id) {
+void target_selector::attempt_started(std::string const& id, time_point now) {
     if (auto const found = m_targets.find(id); found != m_targets.end()) {
         ++found->second.in_flight;
+        found->second.load_changed_at = now;
     }
 }
 
@@ -326,6 +346,7 @@
     }
     auto& state = found->second;
     state.in_flight -= std::min(state.in_flight, 1U);
+    state.load_changed_at = now;
     auto& pool = m_pools[state.listed.pool];
     double failure = 0;
     switch (outcome) {
--- a/Libraries/Coordination/coordination/target_selector.hpp
+++ b/Libraries/Coordination/coordination/target_selector.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "base/random.hpp"
+#include "coordination/slot_claims.hpp"
 #include "coordination/target_list_cache.hpp"
 
 #include <chrono>
@@ -10,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -55,6 +57,7 @@
     /// The choice is random among the targets whose expected time exceeds the lowest one by at most this
     /// share, so that instances with the same data do not all choose the same target.
     double tie_tolerance = 0.1;
+    slot_claim_policy slot_claims;
 };
 
 /// The hash that stands for a target's id in messages between instances.
@@ -83,6 +86,8 @@
     double other_in_flight = 0;      ///< Requests of other instances, estimated.
     double failure_rate = 0;
     std::size_t candidate_count = 0;
+    /// The target has available capacity and is not much slower than the fastest one of its pool.
+    bool is_eligible = false;
 };
 
 /// One instance's state of every listed target. Not thread-safe; time and randomness are passed in.
@@ -96,13 +101,17 @@
     /// every other target is dropped.
     void set_targets(std::span<listed_target const> targets, time_point now);
 
+    /// Sets the order in which this instance and the other homes of a pool use a target's last free slot.
+    /// Called again when targets or homes changed; before the first call, this instance comes first.
+    void set_slot_claims(std::string_view pool, endpoint const& self, std::set<endpoint> const& homes);
+
     /// Chooses the target of the pool with the least expected time, at random among near ties. Returns
     /// nothing when no target may be used.
     [[nodiscard]] std::optional<target_choice> choose(std::string_view pool,
                                                       std::span<std::string const> excluded, time_point now,
                                                       random_source& random) const;
 
-    void attempt_started(std::string const& id);
+    void attempt_started(std::string const& id, time_point now);
     /// `latency` is used only when the outcome is `succeeded`.
     void attempt_finished(std::string const& id, attempt_outcome outcome, std::chrono::nanoseconds latency,
                           time_point now);
@@ -160,6 +169,8 @@
         std::optional<time_point> reported_at;
         double failure_rate = 0;
         time_point failure_rate_updated_at{};
+        std::uint32_t slot_claim_rank = 0;
+        time_point load_changed_at{}; ///< When this instance last sent or heard of a change of the load.
     };
     /// The values by which targets are compared; unlike `target_choice` it copies no strings.
     struct candidate_estimate {
@@ -186,6 +197,8 @@
     [[nodiscard]] candidate_estimate estimate_candidate(target_state const& state, pool_state const& pool,
                                                         time_point now) const;
     [[nodiscard]] static target_choice make_choice(candidate_estimate const& value);
+    /// 1 while a home that comes first may be about to use a slot of the target, else 0.
+    [[nodiscard]] double claimed_by_others(target_state const& state, time_point now) const;
     [[nodiscard]] double failure_rate(target_state const& state, time_point now) const;
     [[nodiscard]] double other_in_flight(target_state const& state, time_point now) const;
     [[nodiscard]] double peers_in_flight(target_state const& state, time_point now) const;
--- a/Libraries/Gateway/gateway/fleet_synchronizer.cpp
+++ b/Libraries/Gateway/gateway/fleet_synchronizer.cpp
@@ -289,6 +289,8 @@
 void fleet_synchronizer::apply_targets(std::string_view source) {
     auto const& current = m_target_list.current();
     m_state.selector.set_targets(current.targets, clock::now());
+    m_claiming_homes.clear();
+    refresh_slot_claims();
     m_target_client.close_idle_connections_unless([&](std::string const& id, endpoint const& address) {
         auto const found = std::ranges::lower_bound(current.targets, id, {}, &listed_target::id);
         return found != current.targets.end() && found->id == id && found->address == address &&
@@ -351,6 +353,18 @@
     m_state.max_homes_per_host = m_homes.max_homes_per_host();
     m_state.extra_attempts.set_home_count(
         m_homes.is_home(m_membership.self().peer_address) ? m_homes.max_homes_per_host() : 0);
+    refresh_slot_claims();
+}
+
+void fleet_synchronizer::refresh_slot_claims() {
+    for (auto const& pool : m_state.routes.load()->tables().pools) {
+        auto const& homes = m_homes.peer_addresses_for_pool(pool.name);
+        auto& previous = m_claiming_homes[pool.name];
+        if (previous != homes) {
+            m_state.selector.set_slot_claims(pool.name, m_membership.self().peer_address, homes);
+            previous = homes;
+        }
+    }
 }
 
 fleet_datagram fleet_synchronizer::make_announcement() {
--- a/Libraries/Gateway/gateway/fleet_synchronizer.hpp
+++ b/Libraries/Gateway/gateway/fleet_synchronizer.hpp
@@ -17,8 +17,11 @@
 #include "transport/io_thread.hpp"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
+#include <set>
+#include <string>
 #include <vector>
 
 namespace pomelospread {
@@ -53,6 +56,8 @@
     void wait_until_joined();
     /// Recomputes what follows from the members: the paths of changes, the homes, the budgets.
     void refresh_plan();
+    /// Recomputes the order in which homes use the targets' last slots where homes or targets changed.
+    void refresh_slot_claims();
     /// Whom to ask while this instance is not ready: in turn a relay of its zone and anybody.
     [[nodiscard]] std::optional<endpoint> choose_snapshot_peer(std::uint32_t round) const;
     void log_fleet_bytes() const;
@@ -96,6 +101,7 @@
     load_exchange m_load_exchange;
     std::uint64_t m_tables_store_version = 0;
     bool m_has_read_tables = false; ///< From the platform, since the start or the last `history_lost`.
+    std::map<std::string, std::set<endpoint>> m_claiming_homes; ///< By pool, of the last refresh.
     bool m_is_store_available = true;
     bool m_is_table_question_open = false; ///< The platform holds a question of this instance.
     clock::time_point m_tables_confirmed_at{};
--- a/Libraries/Gateway/gateway/request_dispatcher.cpp
+++ b/Libraries/Gateway/gateway/request_dispatcher.cpp
@@ -30,6 +30,9 @@
 /// Longest wait for load probes before a target is chosen: enough for a round trip between zones, a new
 /// connection and the target's processing.
 constexpr auto max_probe_wait = milliseconds(12);
+/// How often a request waits for a permit again because the target that it was for turned out to be slow or
+/// full.
+constexpr int max_choice_rounds = 3;
 /// Available capacity that a pool must have before a hedge is sent.
 constexpr double min_hedge_capacity = 3;
 /// A retry needs at least this share of the typical service time until the deadline; with less, it has hardly
@@ -245,24 +248,54 @@
     }
 }
 
-bool request_dispatcher::prepare_attempt(request_state& request, attempt_set& attempts,
-                                         std::string_view purpose) {
-    auto const now = std::chrono::steady_clock::now();
-    auto const choice =
-        m_state.selector.choose(request.pool, attempts.excluded_targets, now, thread_random());
-    if (!choice) {
-        log_line(log_level::info, "no_target")
-            .field("request", request.id)
-            .field("pool", request.pool)
-            .field("purpose", purpose)
-            .field("usable", static_cast<std::uint64_t>(m_state.selector.usable_target_count(request.pool)))
-            .write();
-        return false;
+bool request_dispatcher::start_attempt(request_state& request, std::shared_ptr<attempt_set> const& attempts,
+                                       std::string_view purpose) {
+    for (int round = 1;; ++round) {
+        if (!wait_for_permit(request)) {
+            return false;
+        }
+        request.notifier.set_disconnect_handler([attempts] {
+            attempts->cancel_unfinished();
+            attempts->changed.notify_all();
+        });
+        probe_candidates(request, *attempts);
+        m_admission.release_reservation(request.pool);
+        auto const now = std::chrono::steady_clock::now();
+        if (now >= request.deadline || request.notifier.is_disconnected()) {
+            m_admission.grant_available_permits(request.pool);
+            return false;
+        }
+        auto const choice =
+            m_state.selector.choose(request.pool, attempts->excluded_targets, now, thread_random());
+        if (!choice) {
+            log_line(log_level::info, "no_target")
+                .field("request", request.id)
+                .field("pool", request.pool)
+                .field("purpose", purpose)
+                .field("usable",
+                       static_cast<std::uint64_t>(m_state.selector.usable_target_count(request.pool)))
+                .write();
+            m_admission.grant_available_permits(request.pool);
+            return false;
+        }
+        if (choice->is_eligible || round == max_choice_rounds) {
+            prepare_attempt(request, *attempts, *choice, purpose);
+            m_thread.spawn(
+                [this, attempts, state = attempts->states.back()] { run_attempt(attempts, state); });
+            return true;
+        }
+        // The probes, or another request, took the slot that the permit was for.
+        m_admission.grant_available_permits(request.pool);
     }
+}
+
+void request_dispatcher::prepare_attempt(request_state const& request, attempt_set& attempts,
+                                         target_choice const& choice, std::string_view purpose) {
+    auto const now = std::chrono::steady_clock::now();
     auto const remaining_ms = ms_between(now, request.deadline);
     auto state = std::make_shared<attempt_state>();
-    state->target = choice->id;
-    state->address = choice->address;
+    state->target = choice.id;
+    state->address = choice.address;
     state->started = now;
     state->deadline = request.deadline + response_grace_period;
     state->request = std::make_shared<http_request>(request.request);
@@ -271,29 +304,28 @@
     state->request->prepare_payload();
     set_header_field(*state->request, m_state.wire_format.deadline_header,
                      std::to_string(std::max<std::int64_t>(1, remaining_ms)));
-    set_header_field(*state->request, m_state.wire_format.expected_target_header, choice->id);
+    set_header_field(*state->request, m_state.wire_format.expected_target_header, choice.id);
     log_line(log_level::info, "target_chosen")
         .field("request", request.id)
         .field("route", request.route->name)
         .field("tables", request.routes->tables().version)
         .field("pool", request.pool)
-        .field("target", choice->id)
+        .field("target", choice.id)
         .field("purpose", purpose)
-        .field("expected_ms", static_cast<std::int64_t>(choice->expected_ms))
-        .field("slowdown_percent", static_cast<std::int64_t>(choice->slowdown * 100))
-        .field("report_age_ms", choice->report_age_ms)
-        .field("in_flight", static_cast<std::int64_t>(choice->own_in_flight))
-        .field("others", static_cast<std::int64_t>(std::lround(choice->other_in_flight)))
-        .field("failure_percent", static_cast<std::int64_t>(choice->failure_rate * 100))
-        .field("candidates", static_cast<std::uint64_t>(choice->candidate_count))
+        .field("expected_ms", static_cast<std::int64_t>(choice.expected_ms))
+        .field("slowdown_percent", static_cast<std::int64_t>(choice.slowdown * 100))
+        .field("report_age_ms", choice.report_age_ms)
+        .field("in_flight", static_cast<std::int64_t>(choice.own_in_flight))
+        .field("others", static_cast<std::int64_t>(std::lround(choice.other_in_flight)))
+        .field("failure_percent", static_cast<std::int64_t>(choice.failure_rate * 100))
+        .field("candidates", static_cast<std::uint64_t>(choice.candidate_count))
         .field("left_ms", remaining_ms)
         .write();
-    m_state.selector.attempt_started(choice->id);
-    m_state.pending_load_changes.record_attempt_started(choice->id);
+    m_state.selector.attempt_started(choice.id, now);
+    m_state.pending_load_changes.record_attempt_started(choice.id);
     m_state.counters.add(counter::target_exchanges);
-    attempts.excluded_targets.push_back(choice->id);
+    attempts.excluded_targets.push_back(choice.id);
     attempts.states.push_back(std::move(state));
-    return true;
 }
 
 void request_dispatcher::run_attempt(std::shared_ptr<attempt_set> const& attempts,
@@ -349,26 +381,7 @@
     auto const attempts = std::make_shared<attempt_set>();
     auto const& route = *request.route;
     auto& budget = m_state.extra_attempts.budget_for(request.pool);
-    auto const start_attempt = [&](std::string_view purpose) {
-        if (!wait_for_permit(request)) {
-            return false;
-        }
-        request.notifier.set_disconnect_handler([attempts] {
-            attempts->cancel_unfinished();
-            attempts->changed.notify_all();
-        });
-        probe_candidates(request, *attempts);
-        m_admission.release_reservation(request.pool);
-        bool const deadline_passed = std::chrono::steady_clock::now() >= request.deadline;
-        if (deadline_passed || request.notifier.is_disconnected() ||
-            !prepare_attempt(request, *attempts, purpose)) {
-            m_admission.grant_available_permits(request.pool);
-            return false;
-        }
-        m_thread.spawn([this, attempts, state = attempts->states.back()] { run_attempt(attempts, state); });
-        return true;
-    };
-    if (!start_attempt("first")) {
+    if (!start_attempt(request, attempts, "first")) {
         return finish_not_run(request, "no place at a target in time");
     }
     auto const hedge_at = hedge_time(request);
@@ -417,7 +430,7 @@
             bool started = false;
             if (has_time && within_limits && (!was_sent || budget.try_withdraw())) {
                 m_state.counters.add(counter::retries);
-                started = start_attempt("retry");
+                started = start_attempt(request, attempts, "retry");
             }
             if (!started) {
                 if (error_response) {
@@ -448,7 +461,7 @@
                 if (attempts->sent_count() < route.max_attempts && has_spare_capacity &&
                     budget.try_withdraw()) {
                     m_state.counters.add(counter::hedges);
-                    static_cast<void>(start_attempt("hedge"));
+                    static_cast<void>(start_attempt(request, attempts, "hedge"));
                 }
                 continue;
             }
--- a/Libraries/Gateway/gateway/request_dispatcher.hpp
+++ b/Libraries/Gateway/gateway/request_dispatcher.hpp
@@ -37,8 +37,12 @@
     [[nodiscard]] bool wait_for_permit(request_state const& request);
     /// Sends load probes to the likely targets before one of them is chosen.
     void probe_candidates(request_state const& request, attempt_set const& attempts);
-    [[nodiscard]] bool prepare_attempt(request_state& request, attempt_set& attempts,
-                                       std::string_view purpose);
+    /// Waits for a permit, chooses a target and starts an attempt there. Returns false when the request is
+    /// refused, its time is over, its caller disconnected or no target can be chosen.
+    [[nodiscard]] bool start_attempt(request_state& request, std::shared_ptr<attempt_set> const& attempts,
+                                     std::string_view purpose);
+    void prepare_attempt(request_state const& request, attempt_set& attempts, target_choice const& choice,
+                         std::string_view purpose);
     void run_attempt(std::shared_ptr<attempt_set> const& attempts,
                      std::shared_ptr<attempt_state> const& state);
     void record_attempt_result(attempt_state const& state, exchange_report const& report);
--- a/Tests/Coordination/test_target_selector.cpp
+++ b/Tests/Coordination/test_target_selector.cpp
@@ -5,7 +5,10 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <map>
+#include <set>
+#include <vector>
 
 using namespace pomelospread;
 using namespace std::chrono_literals;
@@ -65,7 +68,7 @@
 
 TEST(target_selectors, requests_in_both_a_report_and_a_peer_count_are_counted_once) {
     list({target("a")});
-    selector.attempt_started("a");
+    selector.attempt_started("a", now);
     selector.update_peer_load(7, "a", 1, 0, now);
     selector.apply_load_report("a", {.running = 2, .waiting = 0, .slots = 6, .slowdown = 1.0}, now);
     DOUBLES_EQUAL(2, selector.available_capacity("p", now),
@@ -76,7 +79,7 @@
     list({target("unresponsive"), target("healthy")});
     DOUBLES_EQUAL(8, selector.available_capacity("p", now), 0.01);
     for (int i = 0; i < 3; ++i) {
-        selector.attempt_started("unresponsive");
+        selector.attempt_started("unresponsive", now);
         selector.attempt_finished("unresponsive", attempt_outcome::timed_out, 1s, now);
     }
     DOUBLES_EQUAL(4, selector.available_capacity("p", now), 0.01);
@@ -86,7 +89,7 @@
 TEST(target_selectors, pool_in_which_all_targets_fail_still_has_capacity) {
     list({target("a"), target("b")});
     for (auto const* id : {"a", "b"}) {
-        selector.attempt_started(id);
+        selector.attempt_started(id, now);
         selector.attempt_finished(id, attempt_outcome::failed, 10ms, now);
     }
     DOUBLES_EQUAL(8, selector.available_capacity("p", now), 0.01);
@@ -104,7 +107,7 @@
 
 TEST(target_selectors, new_incarnation_under_the_same_id_starts_without_state) {
     list({target("a")});
-    selector.attempt_started("a");
+    selector.attempt_started("a", now);
     selector.disable("a");
     auto new_incarnation = target("a");
     new_incarnation.started_unix_ms = 7;
@@ -211,3 +214,92 @@
     CHECK(budget.try_withdraw());
     CHECK_FALSE(budget.try_withdraw());
 }
+
+namespace {
+
+/// The homes of a pool, each with its own knowledge, which load updates bring up to date.
+class simulated_homes {
+public:
+    simulated_homes(std::size_t count, std::vector<listed_target> const& targets, bool with_claims,
+                    target_selector::time_point now) {
+        for (std::size_t i = 0; i < count; ++i) {
+            m_homes.insert({"10.0.0." + std::to_string(i + 1), 7200});
+        }
+        for (auto const& home : m_homes) {
+            m_selectors.emplace_back("z", target_selector_policy{});
+            m_selectors.back().set_targets(targets, now);
+            if (with_claims) {
+                m_selectors.back().set_slot_claims("p", home, m_homes);
+            }
+        }
+    }
+
+    [[nodiscard]] std::vector<target_selector>& selectors() { return m_selectors; }
+
+    /// How many homes would send a waiting request now.
+    [[nodiscard]] std::ptrdiff_t ready_count(target_selector::time_point now) const {
+        return std::ranges::count_if(
+            m_selectors, [&](auto const& each) { return each.available_capacity("p", now) >= 1.0; });
+    }
+
+private:
+    std::set<endpoint> m_homes;
+    std::vector<target_selector> m_selectors;
+};
+
+constexpr std::size_t home_count = 8;
+
+/// Fills the target up to one slot as the first home's requests, of which one ended just now.
+void free_one_slot(simulated_homes& homes, target_selector::time_point now) {
+    for (std::size_t i = 0; i < home_count; ++i) {
+        auto& selector = homes.selectors()[i];
+        for (int request = 0; i == 0 && request < 4; ++request) {
+            selector.attempt_started("busy", now - 500ms);
+        }
+        if (i == 0) {
+            selector.attempt_finished("busy", attempt_outcome::succeeded, 200ms, now);
+        } else {
+            selector.update_peer_load(1, "busy", 4, 0, now - 500ms);
+            selector.update_peer_load(1, "busy", 3, 0, now);
+        }
+    }
+}
+
+} // namespace
+
+TEST(target_selectors, a_slot_that_becomes_free_is_used_by_one_home_at_a_time) {
+    simulated_homes homes(home_count, {target("busy")}, true, now);
+    free_one_slot(homes, now);
+    LONGS_EQUAL(1, homes.ready_count(now));
+    LONGS_EQUAL(1, homes.ready_count(now + 39ms));
+    LONGS_EQUAL(2, homes.ready_count(now + 41ms));
+    LONGS_EQUAL(3, homes.ready_count(now + 56ms));
+    LONGS_EQUAL(home_count, homes.ready_count(now + 200ms));
+}
+
+TEST(target_selectors, without_claims_all_homes_use_the_same_slot) {
+    simulated_homes homes(home_count, {target("busy")}, false, now);
+    free_one_slot(homes, now);
+    LONGS_EQUAL(home_count, homes.ready_count(now));
+}
+
+TEST(target_selectors, claims_do_not_hold_back_requests_while_targets_are_idle) {
+    simulated_homes homes(home_count, {target("a"), target("b")}, true, now);
+    LONGS_EQUAL(home_count, homes.ready_count(now));
+}
+
+TEST(target_selectors, each_home_comes_first_at_a_fair_share_of_the_targets) {
+    std::set<endpoint> homes;
+    for (std::size_t i = 0; i < home_count; ++i) {
+        homes.insert({"10.0.0." + std::to_string(i + 1), 7200});
+    }
+    for (auto const& home : homes) {
+        int first_count = 0;
+        for (int id = 0; id < 400; ++id) {
+            first_count += slot_claim_rank("i-" + std::to_string(id), home, homes) == 0 ? 1 : 0;
+        }
+        CHECK(first_count > 25);
+        CHECK(first_count < 75);
+    }
+    LONGS_EQUAL(home_count, slot_claim_rank("i-1", {"10.9.9.9", 7200}, homes));
+}
