Choice: Leave no slot to others at a target where this home comes first

Cause: a change of the load that was noted after the time that a caller passed in counted as claimed also for the first home.

--- a/Libraries/Coordination/coordination/target_selector.cpp
+++ b/Libraries/Coordination/coordination/target_selector.cpp
@@ -77,8 +77,9 @@
 }
 
 double target_selector::claimed_by_others(target_state const& state, time_point now) const {
-    return now - state.load_changed_at < slot_claim_delay(state.slot_claim_rank, m_policy.slot_claims) ? 1.0
-                                                                                                       : 0.0;
+    auto const delay = slot_claim_delay(state.slot_claim_rank, m_policy.slot_claims);
+    bool const is_claimed = state.slot_claim_rank > 0 && now - state.load_changed_at < delay;
+    return is_claimed ? 1.0 : 0.0;
 }
 
 std::string const* target_selector::find_by_hash(std::uint32_t hash) const {
