Choice: Learn a pool's usual work apart from slowdowns, and let its first home probe most

A home's probe rate was a share of one home, also at the targets that it dispatches to first.

Change: latencies are divided by the slowdown that the choice knew; the interval between permits uses the mean as measured. The first home of a target has 0.6 of its probe rate. A request waits for another permit up to seven times when its target turned out slow or full.

--- a/Libraries/Coordination/coordination/slot_claims.cpp
+++ b/Libraries/Coordination/coordination/slot_claims.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+constexpr double first_home_probe_share = 0.6;
+
 /// The address breaks ties, so that the order is the same everywhere.
 std::pair<std::uint64_t, endpoint> rendezvous_key(std::string_view target_id, endpoint const& home) {
     auto const text = std::string(target_id) + '\n' + to_string(home);
@@ -32,4 +34,12 @@
     return rank == 0 ? std::chrono::milliseconds(0) : policy.first_delay + policy.rank_delay * (rank - 1);
 }
 
+double probe_rate_share(std::uint32_t rank, std::size_t home_count) {
+    if (home_count <= 1) {
+        return 1.0;
+    }
+    return rank == 0 ? first_home_probe_share
+                     : (1.0 - first_home_probe_share) / static_cast<double>(home_count - 1);
+}
+
 } // namespace pomelospread
--- a/Libraries/Coordination/coordination/slot_claims.hpp
+++ b/Libraries/Coordination/coordination/slot_claims.hpp
@@ -5,6 +5,7 @@
 #include "base/endpoint.hpp"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <set>
 #include <string_view>
@@ -31,4 +32,8 @@
 /// before it.
 [[nodiscard]] std::chrono::milliseconds slot_claim_delay(std::uint32_t rank, slot_claim_policy policy);
 
+/// The share of a target's load probes that an instance of this rank may send. The first home dispatches to
+/// the target when it is nearly full, so it gets the largest part; together the homes use the whole rate.
+[[nodiscard]] double probe_rate_share(std::uint32_t rank, std::size_t home_count);
+
 } // namespace pomelospread
--- a/Libraries/Coordination/coordination/target_selector.cpp
+++ b/Libraries/Coordination/coordination/target_selector.cpp
@@ -23,6 +23,11 @@
     return std::chrono::duration<double, std::milli>(value).count();
 }
 
+/// Moves a mean towards a value; the first value becomes the mean.
+void update_mean(double& mean, double value, double weight) {
+    mean = mean == 0 ? value : mean + weight * (value - mean);
+}
+
 /// The share of a value that remains after `age`.
 double decayed(std::chrono::nanoseconds age, std::chrono::milliseconds half_life) {
     return age.count() <= 0 ? 1.0 : std::exp2(-to_ms(age) / static_cast<double>(half_life.count()));
@@ -76,6 +81,11 @@
     }
 }
 
+std::uint32_t target_selector::claim_rank(std::string const& id) const {
+    auto const found = m_targets.find(id);
+    return found == m_targets.end() ? 0 : found->second.slot_claim_rank;
+}
+
 double target_selector::claimed_by_others(target_state const& state, time_point now) const {
     auto const delay = slot_claim_delay(state.slot_claim_rank, m_policy.slot_claims);
     bool const is_claimed = state.slot_claim_rank > 0 && now - state.load_changed_at < delay;
@@ -141,8 +151,7 @@
     if (found == m_pools.end()) {
         return {};
     }
-    return std::chrono::nanoseconds(
-        static_cast<std::int64_t>(found->second.typical_service_ms * found->second.mean_slowdown * 1e6));
+    return std::chrono::nanoseconds(static_cast<std::int64_t>(found->second.mean_service_ms * 1e6));
 }
 
 double target_selector::peers_in_flight(target_state const& state, time_point now) const {
@@ -339,8 +348,15 @@
     }
 }
 
+std::optional<double> target_selector::known_slowdown(target_choice const& choice) const {
+    bool const is_fresh =
+        choice.report_age_ms >= 0 && choice.report_age_ms < m_policy.slowdown_half_life.count();
+    return is_fresh ? std::optional(choice.slowdown) : std::nullopt;
+}
+
 void target_selector::attempt_finished(std::string const& id, attempt_outcome outcome,
-                                       std::chrono::nanoseconds latency, time_point now) {
+                                       std::chrono::nanoseconds latency, std::optional<double> slowdown,
+                                       time_point now) {
     auto const found = m_targets.find(id);
     if (found == m_targets.end()) {
         return;
@@ -352,11 +368,9 @@
     double failure = 0;
     switch (outcome) {
     case attempt_outcome::succeeded: {
-        auto const normalized_ms = to_ms(latency) / std::max(1.0, pool.mean_slowdown);
-        pool.typical_service_ms =
-            pool.typical_service_ms == 0
-                ? normalized_ms
-                : pool.typical_service_ms + service_time_weight * (normalized_ms - pool.typical_service_ms);
+        auto const normalized_ms = to_ms(latency) / std::max(1.0, slowdown.value_or(pool.mean_slowdown));
+        update_mean(pool.typical_service_ms, normalized_ms, service_time_weight);
+        update_mean(pool.mean_service_ms, to_ms(latency), service_time_weight);
         break;
     }
     case attempt_outcome::failed:
--- a/Libraries/Coordination/coordination/target_selector.hpp
+++ b/Libraries/Coordination/coordination/target_selector.hpp
@@ -112,9 +112,12 @@
                                                       random_source& random) const;
 
     void attempt_started(std::string const& id, time_point now);
-    /// `latency` is used only when the outcome is `succeeded`.
+    /// `latency` is used only when the outcome is `succeeded`. `slowdown` is what the choice knew of the
+    /// target from a fresh report; without one, the pool's mean is assumed.
     void attempt_finished(std::string const& id, attempt_outcome outcome, std::chrono::nanoseconds latency,
-                          time_point now);
+                          std::optional<double> slowdown, time_point now);
+    /// The slowdown to pass to `attempt_finished` for a request that was sent after this choice.
+    [[nodiscard]] std::optional<double> known_slowdown(target_choice const& choice) const;
     /// Applies another instance's number of requests in flight at the target and its number of new failures.
     void update_peer_load(std::uint64_t peer, std::string const& id, std::uint32_t in_flight,
                           std::uint32_t failures, time_point now);
@@ -131,6 +134,8 @@
 
     /// A load probe returned no load report: counts as a failure of the target.
     void record_probe_failure(std::string const& id, time_point now);
+    /// The rank of this instance in the order of `set_slot_claims`; 0 for a target that is not listed.
+    [[nodiscard]] std::uint32_t claim_rank(std::string const& id) const;
     /// The up to `count` targets of the pool to probe: those with the least expected time, without targets
     /// whose report is younger than `fresh`. Empty when the best target has such a report and is not slow,
     /// since probes then cannot improve the choice.
@@ -144,7 +149,8 @@
     [[nodiscard]] double available_capacity(std::string_view pool, time_point now) const;
     /// This instance's requests in flight at the pool's targets.
     [[nodiscard]] std::uint32_t own_pool_in_flight(std::string_view pool) const;
-    /// Typical service time of the pool with the mean slowdown that its targets report now.
+    /// Mean time of the pool's requests until the response, with the slowdowns that they met; zero until a
+    /// request was measured.
     [[nodiscard]] std::chrono::nanoseconds current_service_time(std::string_view pool) const;
     /// Number of targets of the pool that may receive a request.
     [[nodiscard]] std::size_t usable_target_count(std::string_view pool) const;
@@ -184,7 +190,8 @@
     };
     struct pool_state {
         std::vector<target_state const*> targets; ///< Entries of `m_targets`, whose addresses are stable.
-        double typical_service_ms = 0;
+        double typical_service_ms = 0; ///< Without slowdown.
+        double mean_service_ms = 0;    ///< As measured.
         double mean_slowdown = 1.5;
     };
 
--- a/Libraries/Gateway/gateway/forwarding_state.cpp
+++ b/Libraries/Gateway/gateway/forwarding_state.cpp
@@ -27,9 +27,9 @@
       extra_attempts(settings.extra_attempt_ratio, settings.extra_attempt_burst),
       account(self, settings.journal_capacity, counters) {}
 
-double forwarding_state::probes_per_target_per_second() const {
-    return settings.fleet_probes_per_target_per_second /
-           static_cast<double>(std::max<std::size_t>(1, max_homes_per_host));
+double forwarding_state::probes_per_second(std::string const& target) const {
+    return settings.fleet_probes_per_target_per_second *
+           probe_rate_share(selector.claim_rank(target), max_homes_per_host);
 }
 
 } // namespace pomelospread
--- a/Libraries/Gateway/gateway/forwarding_state.hpp
+++ b/Libraries/Gateway/gateway/forwarding_state.hpp
@@ -43,8 +43,8 @@
     gateway_settings settings;
     forwarding_wire_format const& wire_format;
     rcu_snapshot<route_index> routes; ///< Version 0 until tables were read.
-    /// This instance's share of the load probe rate of one target.
-    [[nodiscard]] double probes_per_target_per_second() const;
+    /// This instance's share of the load probe rate of a target.
+    [[nodiscard]] double probes_per_second(std::string const& target) const;
 
     target_selector selector;
     std::size_t max_homes_per_host = 1; ///< Largest number of homes that the callers of one host have.
--- a/Libraries/Gateway/gateway/load_prober.cpp
+++ b/Libraries/Gateway/gateway/load_prober.cpp
@@ -23,7 +23,7 @@
     if (m_token_buckets.size() > max_token_buckets) {
         m_token_buckets.clear();
     }
-    auto const rate = m_state.probes_per_target_per_second();
+    auto const rate = m_state.probes_per_second(id);
     auto const [found, added] =
         m_token_buckets.try_emplace(id, token_bucket{.tokens = 1.0, .refilled_at = now});
     auto& bucket = found->second;
--- a/Libraries/Gateway/gateway/load_prober.hpp
+++ b/Libraries/Gateway/gateway/load_prober.hpp
@@ -17,8 +17,7 @@
 namespace pomelospread {
 
 /// Used on one thread. The load probes that the home instances of one host send to a target stay under the
-/// configured rate together: each instance uses that rate divided by the largest number of home instances of
-/// any host.
+/// configured rate together: each uses the share of it that `probe_rate_share` gives to its rank.
 class load_prober {
 public:
     load_prober(io_thread& thread, forwarding_state& state, target_client& targets)
--- a/Libraries/Gateway/gateway/request_dispatcher.cpp
+++ b/Libraries/Gateway/gateway/request_dispatcher.cpp
@@ -30,9 +30,8 @@
 /// Longest wait for load probes before a target is chosen: enough for a round trip between zones, a new
 /// connection and the target's processing.
 constexpr auto max_probe_wait = milliseconds(12);
-/// How often a request waits for a permit again because the target that it was for turned out to be slow or
-/// full.
-constexpr int max_choice_rounds = 3;
+/// How often a request waits for a permit before it is sent to a target that turned out to be slow or full.
+constexpr int max_choice_rounds = 8;
 /// Available capacity that a pool must have before a hedge is sent.
 constexpr double min_hedge_capacity = 3;
 /// A retry needs at least this share of the typical service time until the deadline; with less, it has hardly
@@ -102,6 +101,7 @@
 struct request_dispatcher::attempt_state {
     std::string target;
     endpoint address;
+    std::optional<double> slowdown; ///< Of the target, as the choice knew it.
     std::shared_ptr<http_request> request;
     steady_time started;
     steady_time deadline;
@@ -296,6 +296,7 @@
     auto state = std::make_shared<attempt_state>();
     state->target = choice.id;
     state->address = choice.address;
+    state->slowdown = m_state.selector.known_slowdown(choice);
     state->started = now;
     state->deadline = request.deadline + response_grace_period;
     state->request = std::make_shared<http_request>(request.request);
@@ -351,7 +352,7 @@
     } else if (report.response->result_int() >= 500) {
         outcome = attempt_outcome::failed;
     }
-    m_state.selector.attempt_finished(state.target, outcome, now - state.started, now);
+    m_state.selector.attempt_finished(state.target, outcome, now - state.started, state.slowdown, now);
     m_state.counters.target_latency.observe(now - state.started);
     if (report.target_load_report) {
         m_state.selector.apply_load_report(state.target, *report.target_load_report, now);
