Admission: Serve no kind of request less than half as often as all

Ruled out: priorities alone, since kinds of equal priority starve each other by their target latencies.

Change: `kind_shares` (decision code) counts the arrivals and admissions of each route. A kind whose admitted share is below half of the share of all requests is served next among those that can be on time, and is not refused for the requests that it would precede. Without overload nothing changes.

--- a/Libraries/Coordination/coordination/admission_queue.hpp
+++ b/Libraries/Coordination/coordination/admission_queue.hpp
@@ -1,11 +1,14 @@
 // The requests that wait for available capacity of a pool, and the decision whether another request may wait.
 #pragma once
 
+#include "coordination/kind_shares.hpp"
+
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <list>
 #include <optional>
+#include <tuple>
 
 namespace pomelospread {
 
@@ -14,6 +17,7 @@
     using time_point = std::chrono::steady_clock::time_point;
 
     std::int64_t priority = 0;      ///< 0 is the most urgent.
+    std::uint32_t kind = 0;         ///< Stands for the request's route; see `kind_shares`.
     time_point soft_start_deadline; ///< A later start misses the target latency.
     time_point hard_start_deadline; ///< A later start leaves no time for a response before the deadline.
 };
@@ -28,9 +32,10 @@
     refuse, ///< It would most likely be late or not be served, so it is refused at once.
 };
 
-/// Requests that can still be on time are served first, in order of priority. Under overload the late ones
-/// get only the remaining capacity, instead of making every request late (compare adaptive LIFO: Maurer,
-/// "Fail at Scale", ACM Queue 2015). Not thread-safe. `Waiter` is the owner's handle of a request.
+/// Requests that can still be on time are served first: those of underserved kinds, then the others in order
+/// of priority. Under overload the late ones get only the remaining capacity, instead of making every request
+/// late (compare adaptive LIFO: Maurer, "Fail at Scale", ACM Queue 2015). Not thread-safe. `Waiter` is the
+/// owner's handle of a request.
 template<class Waiter>
 class admission_queue {
 public:
@@ -42,8 +47,9 @@
         if (now >= deadlines.hard_start_deadline || m_waiting.size() >= max_queue_length) {
             return admission_decision::refuse;
         }
+        auto const own_rank = service_rank(deadlines, now);
         auto const ahead = std::ranges::count_if(m_waiting, [&](auto const& each) {
-            return each.deadlines.soft_start_deadline >= now && each.deadlines.priority <= deadlines.priority;
+            return !is_late(each.deadlines, now) && service_rank(each.deadlines, now) <= own_rank;
         });
         if (now + rate.release_interval * (ahead + 1) <= deadlines.soft_start_deadline) {
             return admission_decision::wait;
@@ -62,18 +68,16 @@
         m_waiting.push_back({.deadlines = deadlines, .waiter = std::move(waiter)});
     }
 
+    /// A request of this kind arrived, or was sent to a target for the first time; recorded for every
+    /// request, also for those that need not wait.
+    void record_arrival(std::uint32_t kind, time_point now) { m_shares.record_arrival(kind, now); }
+    void record_admission(std::uint32_t kind, time_point now) { m_shares.record_admission(kind, now); }
+
     /// Removes and returns the request to serve next.
     [[nodiscard]] std::optional<Waiter> pop(time_point now) {
-        auto const best = std::ranges::min_element(m_waiting, [now](entry const& a, entry const& b) {
-            bool const late_a = a.deadlines.soft_start_deadline < now;
-            bool const late_b = b.deadlines.soft_start_deadline < now;
-            if (late_a != late_b) {
-                return late_b;
-            }
-            if (a.deadlines.priority != b.deadlines.priority) {
-                return a.deadlines.priority < b.deadlines.priority;
-            }
-            return a.deadlines.hard_start_deadline < b.deadlines.hard_start_deadline;
+        auto const best = std::ranges::min_element(m_waiting, {}, [&](entry const& each) {
+            return std::tuple(is_late(each.deadlines, now), service_rank(each.deadlines, now),
+                              each.deadlines.hard_start_deadline);
         });
         if (best == m_waiting.end()) {
             return std::nullopt;
@@ -90,8 +94,8 @@
 
     /// Whether a request waits that can still be on time.
     [[nodiscard]] bool has_on_time_waiter(time_point now) const {
-        return std::ranges::any_of(
-            m_waiting, [now](auto const& each) { return each.deadlines.soft_start_deadline >= now; });
+        return std::ranges::any_of(m_waiting,
+                                   [now](auto const& each) { return !is_late(each.deadlines, now); });
     }
     [[nodiscard]] std::size_t size() const noexcept { return m_waiting.size(); }
 
@@ -102,7 +106,18 @@
         admission_deadlines deadlines;
         Waiter waiter;
     };
+
+    static bool is_late(admission_deadlines const& deadlines, time_point now) {
+        return deadlines.soft_start_deadline < now;
+    }
+    /// The order among requests that can be on time: underserved kinds first, then by priority.
+    [[nodiscard]] std::int64_t service_rank(admission_deadlines const& deadlines, time_point now) const {
+        constexpr std::int64_t underserved_rank = -1;
+        return m_shares.is_underserved(deadlines.kind, now) ? underserved_rank : deadlines.priority;
+    }
+
     std::list<entry> m_waiting;
+    kind_shares m_shares;
 };
 
 } // namespace pomelospread
--- a/Libraries/Coordination/coordination/target_selector.hpp
+++ b/Libraries/Coordination/coordination/target_selector.hpp
@@ -190,8 +190,8 @@
     };
     struct pool_state {
         std::vector<target_state const*> targets; ///< Entries of `m_targets`, whose addresses are stable.
-        double typical_service_ms = 0; ///< Without slowdown.
-        double mean_service_ms = 0;    ///< As measured.
+        double typical_service_ms = 0;            ///< Without slowdown.
+        double mean_service_ms = 0;               ///< As measured.
         double mean_slowdown = 1.5;
     };
 
--- a/Libraries/Gateway/gateway/admission_controller.cpp
+++ b/Libraries/Gateway/gateway/admission_controller.cpp
@@ -27,12 +27,12 @@
 bool admission_controller::acquire_permit(admission_request const& request, disconnect_notifier& notifier) {
     auto& admission = m_pools[request.pool];
     auto const now = std::chrono::steady_clock::now();
+    auto const& deadlines = request.deadlines;
     if (admission.queue.size() == 0 && m_state.selector.available_capacity(request.pool, now) >=
                                            static_cast<double>(admission.reserved_permits + 1)) {
         ++admission.reserved_permits;
         return true;
     }
-    auto const& deadlines = request.deadlines;
     auto const own_in_flight = std::max(1U, m_state.selector.own_pool_in_flight(request.pool));
     capacity_release_rate const release_rate{
         .release_interval = m_state.selector.current_service_time(request.pool) / own_in_flight};
--- a/Libraries/Gateway/gateway/request_dispatcher.cpp
+++ b/Libraries/Gateway/gateway/request_dispatcher.cpp
@@ -7,6 +7,8 @@
 #include <boost/fiber/condition_variable.hpp>
 #include <boost/fiber/mutex.hpp>
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <charconv>
 #include <cmath>
@@ -96,6 +98,11 @@
     std::uint64_t sequence = 0; ///< Of the account record; 0: none was appended.
     std::string last_target;
     std::string last_reason;
+
+    /// Stands for the route in the shares of `kind_shares`; the same on every instance and in every version.
+    [[nodiscard]] std::uint32_t kind() const {
+        return static_cast<std::uint32_t>(XXH3_64bits(route->name.data(), route->name.size()));
+    }
 };
 
 struct request_dispatcher::attempt_state {
@@ -226,6 +233,7 @@
         {.request_id = request.id,
          .pool = request.pool,
          .deadlines = {.priority = request.route->priority,
+                       .kind = request.kind(),
                        .soft_start_deadline = request.target_latency_deadline - service_time,
                        .hard_start_deadline = request.deadline - service_time}},
         request.notifier);
@@ -279,6 +287,9 @@
             return false;
         }
         if (choice->is_eligible || round == max_choice_rounds) {
+            if (attempts->states.empty()) {
+                m_admission.record_admission(request.pool, request.kind(), now);
+            }
             prepare_attempt(request, *attempts, *choice, purpose);
             m_thread.spawn(
                 [this, attempts, state = attempts->states.back()] { run_attempt(attempts, state); });
@@ -381,6 +392,7 @@
 http_response request_dispatcher::run_attempts(request_state& request) {
     auto const attempts = std::make_shared<attempt_set>();
     auto const& route = *request.route;
+    m_admission.record_arrival(request.pool, request.kind(), request.received);
     auto& budget = m_state.extra_attempts.budget_for(request.pool);
     if (!start_attempt(request, attempts, "first")) {
         return finish_not_run(request, "no place at a target in time");
--- a/Libraries/Gateway/gateway/target_client.cpp
+++ b/Libraries/Gateway/gateway/target_client.cpp
@@ -161,8 +161,8 @@
         }
         auto const response_id = header_field(response, m_wire_format.request_id_header);
         if (!response_id.empty() && response_id != request_id) {
-            // A duplicate or late response to an earlier request; the own response of this request, or of this
-            // load probe, which has no id, follows.
+            // A duplicate or late response to an earlier request; the own response of this request, or of
+            // this load probe, which has no id, follows.
             if (!is_persistent) {
                 return {.outcome = exchange_outcome::incomplete,
                         .failure_reason = "the response belongs to another request"};
