Choice: Probe free targets also while a full one has a fresh report

The choice leaves out targets without a free slot, but the decision to probe did not: the best of all targets was a full one that had just answered, so nothing was probed.

Change: both look at the same targets (`keep_preferred`).

Test: a_free_target_is_probed_also_while_a_full_one_has_a_fresh_report, which failed first (nothing probed).

--- a/Libraries/Coordination/coordination/target_selector.cpp
+++ b/Libraries/Coordination/coordination/target_selector.cpp
@@ -270,6 +270,19 @@
     return std::ranges::min_element(estimates, {}, &candidate_estimate::expected_ms)->expected_ms;
 }
 
+void target_selector::keep_preferred(std::vector<candidate_estimate>& estimates) const {
+    auto const least = least_expected_ms(estimates);
+    auto const is_eligible_candidate = [&](auto const& each) { return is_eligible(each, least); };
+    if (std::ranges::any_of(estimates, is_eligible_candidate)) {
+        // At a target with many slots, using the last ones slows down all of its requests, so such a target
+        // is dropped unless it is eligible. With few slots, a short wait at a fast target can be better than
+        // a free slot at a slow one; there, the expected time alone decides.
+        std::erase_if(estimates, [&](auto const& each) {
+            return each.target->listed.slots > m_policy.full_use_max_slots && !is_eligible_candidate(each);
+        });
+    }
+}
+
 std::optional<target_choice> target_selector::choose(std::string_view pool,
                                                      std::span<std::string const> excluded, time_point now,
                                                      random_source& random) const {
@@ -283,17 +296,7 @@
     }
     auto const candidates = estimates.size();
     auto const least_before_filter = least_expected_ms(estimates);
-    auto const is_eligible_candidate = [&](auto const& each) {
-        return is_eligible(each, least_before_filter);
-    };
-    if (std::ranges::any_of(estimates, is_eligible_candidate)) {
-        // At a target with many slots, using the last ones slows down all of its requests, so such a target
-        // is dropped unless it is eligible. With few slots, a short wait at a fast target can be better than
-        // a free slot at a slow one; there, the expected time alone decides.
-        std::erase_if(estimates, [&](auto const& each) {
-            return each.target->listed.slots > m_policy.full_use_max_slots && !is_eligible_candidate(each);
-        });
-    }
+    keep_preferred(estimates);
     auto const least = least_expected_ms(estimates);
     std::erase_if(estimates, [&](auto const& each) {
         return each.expected_ms > least * (1.0 + m_policy.tie_tolerance);
@@ -321,6 +324,7 @@
     auto const is_fresh = [&](auto const& each) {
         return each.report_age_ms >= 0 && each.report_age_ms < fresh.count();
     };
+    keep_preferred(estimates);
     std::ranges::shuffle(estimates, random);
     auto const& best = *std::ranges::min_element(estimates, {}, &candidate_estimate::expected_ms);
     // When the best target has a fresh report without a notable slowdown, probes cannot improve the choice.
--- a/Libraries/Coordination/coordination/target_selector.hpp
+++ b/Libraries/Coordination/coordination/target_selector.hpp
@@ -136,9 +136,9 @@
     void record_probe_failure(std::string const& id, time_point now);
     /// The rank of this instance in the order of `set_slot_claims`; 0 for a target that is not listed.
     [[nodiscard]] std::uint32_t claim_rank(std::string const& id) const;
-    /// The up to `count` targets of the pool to probe: those with the least expected time, without targets
-    /// whose report is younger than `fresh`. Empty when the best target has such a report and is not slow,
-    /// since probes then cannot improve the choice.
+    /// The up to `count` targets of the pool to probe: those with the least expected time among the targets
+    /// that `choose` prefers, without targets whose report is younger than `fresh`. Empty when the best
+    /// target has such a report and is not slow, since probes then cannot improve the choice.
     [[nodiscard]] std::vector<target_choice>
     probe_candidates(std::string_view pool, std::span<std::string const> excluded, std::size_t count,
                      std::chrono::milliseconds fresh, time_point now, random_source& random) const;
@@ -200,6 +200,9 @@
     /// Whether the target contributes to the pool's available capacity: it can take a further request, and
     /// its expected time is at most `max_latency_factor` times `least_ms`, the lowest of the pool.
     [[nodiscard]] bool is_eligible(candidate_estimate const& value, double least_ms) const;
+    /// Removes the estimates of targets that are not chosen while others are preferred; `estimates` is not
+    /// empty, before and after.
+    void keep_preferred(std::vector<candidate_estimate>& estimates) const;
     [[nodiscard]] static double least_expected_ms(std::span<candidate_estimate const> estimates);
     [[nodiscard]] candidate_estimate estimate_candidate(target_state const& state, pool_state const& pool,
                                                         time_point now) const;
--- a/Tests/Coordination/test_target_selector.cpp
+++ b/Tests/Coordination/test_target_selector.cpp
@@ -116,6 +116,19 @@
     CHECK(selector.is_usable("a"));
 }
 
+TEST(target_selectors, a_free_target_is_probed_also_while_a_full_one_has_a_fresh_report) {
+    list({target("full"), target("free")});
+    selector.apply_load_report("free", normal, now - 400ms);
+    selector.apply_load_report("full", normal, now);
+    for (int request = 0; request < 4; ++request) {
+        selector.attempt_started("full", now - 100ms);
+    }
+    selector.apply_load_report("full", {.running = 4, .waiting = 0, .slots = 6, .slowdown = 1.0}, now);
+    auto const probed = selector.probe_candidates("p", {}, 3, 25ms, now, random);
+    LONGS_EQUAL(1, probed.size());
+    STRCMP_EQUAL("free", probed.front().id.c_str());
+}
+
 TEST(target_selectors, only_targets_without_a_fresh_report_are_probed) {
     list({target("a"), target("b"), target("c"), target("d")});
     LONGS_EQUAL(3, selector.probe_candidates("p", {}, 3, 25ms, now, random).size());
