Gateway: Store the account objects of a zone's instances together

Change: in a fleet with relays an instance submits its object to the first relay of its zone (`fleet_object_store`), which stores what arrives within 1.5 s as one object (`object_collector`) and answers once the platform has it. An instance forgets its records only then, so the loss of a collector loses nothing but its own records, as before; an unreachable collector is passed by. A lost answer can store a record twice.

Tests: object_collectors (90 objects by one call; a failed group is told to all and can be submitted again; bounded), distribution_plans (one collector a zone, none in a small fleet).

--- a/Libraries/Coordination/coordination/distribution_plan.cpp
+++ b/Libraries/Coordination/coordination/distribution_plan.cpp
@@ -33,6 +33,7 @@
         bool const is_table_watcher = is_relay || (is_alive && alive_count++ < limits.table_watchers);
         if (entry.id == self.id) {
             m_is_relay = is_relay;
+            m_is_first_relay = is_relay && m_zone_relays.empty();
             m_watches_tables = m_is_direct || is_table_watcher;
             continue;
         }
@@ -69,6 +70,11 @@
     return std::nullopt;
 }
 
+std::optional<endpoint> distribution_plan::object_collector() const {
+    return m_is_direct || m_is_first_relay || m_zone_relays.empty() ? std::nullopt
+                                                                    : std::optional(m_zone_relays.front());
+}
+
 std::optional<endpoint> distribution_plan::zone_relay() const {
     return m_zone_relays.empty() ? std::nullopt : std::optional(m_zone_relays.front());
 }
--- a/Libraries/Coordination/coordination/distribution_plan.hpp
+++ b/Libraries/Coordination/coordination/distribution_plan.hpp
@@ -50,6 +50,10 @@
     /// The peer from which to fetch what `sender` announced: the sender if it is in this zone or this
     /// instance is a relay, else nothing yet, since a relay of this zone will announce it.
     [[nodiscard]] std::optional<endpoint> fetch_source(endpoint const& sender) const;
+    /// Whether the members of this zone submit their account objects to this instance, its first relay.
+    [[nodiscard]] bool collects_objects() const noexcept { return is_relay() && m_is_first_relay; }
+    /// The first relay of this zone, if it is another instance; none in a small fleet.
+    [[nodiscard]] std::optional<endpoint> object_collector() const;
     /// Whom to ask after `fetch_source` had nothing and no relay announced the change: the first other relay
     /// of this zone.
     [[nodiscard]] std::optional<endpoint> zone_relay() const;
@@ -57,6 +61,7 @@
 private:
     bool m_is_direct = true; ///< The fleet is small enough to need no relays.
     bool m_is_relay = false;
+    bool m_is_first_relay = false;
     bool m_watches_tables = true;
     std::vector<endpoint> m_zone_members;  ///< Sorted; without this instance.
     std::vector<endpoint> m_remote_relays; ///< In a small fleet, every member of the other zones.
--- a/Libraries/Gateway/gateway/fleet_synchronizer.cpp
+++ b/Libraries/Gateway/gateway/fleet_synchronizer.cpp
@@ -53,6 +53,8 @@
 /// How long a change that another zone announced may take to be announced by a relay of the own zone.
 constexpr auto relay_wait = milliseconds(300);
 constexpr std::size_t max_addresses = 64;
+/// An account segment that another instance submits.
+constexpr std::size_t max_object_bytes = std::size_t{8} * 1024 * 1024;
 
 milliseconds random_up_to(milliseconds limit) {
     return milliseconds(thread_random()() % static_cast<std::uint64_t>(limit.count() + 1));
@@ -75,8 +77,13 @@
       m_membership(std::move(self), membership_limits{}),
       m_socket(thread.io(), state.settings.peer_address, state.counters,
                [this](endpoint const& receiver) { return m_plan.is_in_own_zone(receiver); }),
-      m_snapshots(thread, state.settings.peer_address, state.settings.zone, state.counters,
+      m_peer_server(thread, state.settings.peer_address, http_limits{.max_body_bytes = max_object_bytes},
+                    [this](http_request& request) { return handle_peer_request(request); }),
+      m_peer_connections(thread.io(), 1, std::chrono::seconds(5)),
+      m_snapshots(m_peer_connections, state.settings.zone, state.counters,
                   [this](snapshot_request const& request) { return make_snapshot(request); }),
+      m_object_collector(thread, store.objects(), m_membership.self().id),
+      m_objects(store.objects(), m_object_collector, m_peer_connections, m_plan),
       m_homes(state.settings.homes),
       m_load_exchange(state, m_homes, [this](fleet_datagram const& message, endpoint const& to) {
           m_socket.send(message, to);
@@ -85,7 +92,7 @@
 fleet_synchronizer::~fleet_synchronizer() = default;
 
 void fleet_synchronizer::start() {
-    m_snapshots.start();
+    m_peer_server.start();
     m_thread.spawn([this] {
         m_socket.receive(
             [this](auto const& message, auto const& sender) { handle_datagram(message, sender); });
@@ -348,7 +355,8 @@
 
 void fleet_synchronizer::refresh_plan() {
     auto const members = m_membership.view();
-    m_plan = distribution_plan(m_membership.self(), members);
+    m_plan = distribution_plan(m_membership.self(), members,
+                               {.max_direct_fleet_size = m_state.settings.max_direct_fleet_size});
     m_homes.refresh(*m_state.routes.load(), members);
     m_state.max_homes_per_host = m_homes.max_homes_per_host();
     m_state.extra_attempts.set_home_count(
@@ -561,6 +569,18 @@
     return succeeded;
 }
 
+http_response fleet_synchronizer::handle_peer_request(http_request& request) {
+    std::string_view const target(request.target().data(), request.target().size());
+    auto const path = target.substr(0, target.find('?'));
+    if (path == snapshot_exchange::path) {
+        return m_snapshots.handle(request);
+    }
+    if (path == fleet_object_store::path) {
+        return m_objects.handle(request);
+    }
+    return make_response(404, "text/plain", "");
+}
+
 peer_snapshot fleet_synchronizer::make_snapshot(snapshot_request const& request) const {
     peer_snapshot snapshot;
     if (tables_version() > request.tables_version) {
@@ -600,7 +620,7 @@
     m_stopping = true;
     log_fleet_bytes();
     m_socket.close();
-    m_snapshots.stop();
+    m_peer_server.stop_listening();
 }
 
 void fleet_synchronizer::log_fleet_bytes() const {
--- a/Libraries/Gateway/gateway/fleet_synchronizer.hpp
+++ b/Libraries/Gateway/gateway/fleet_synchronizer.hpp
@@ -10,10 +10,14 @@
 #include "coordination/transit_delay_estimator.hpp"
 #include "gateway/fleet_datagram_socket.hpp"
 #include "gateway/fleet_messages.hpp"
+#include "gateway/fleet_object_store.hpp"
 #include "gateway/forwarding_state.hpp"
 #include "gateway/load_exchange.hpp"
+#include "gateway/object_collector.hpp"
 #include "gateway/snapshot_exchange.hpp"
 #include "gateway/target_client.hpp"
+#include "protocol/http_connection.hpp"
+#include "protocol/http_server.hpp"
 #include "transport/io_thread.hpp"
 
 #include <functional>
@@ -45,6 +49,8 @@
     /// The addresses of the instances that callers in the query's zone use for its host.
     [[nodiscard]] std::vector<endpoint> addresses_for(address_query const& query) const;
     [[nodiscard]] std::string status_json() const;
+    /// The object store, through the collector of the zone.
+    [[nodiscard]] object_store& objects() noexcept { return m_objects; }
 
 private:
     void watch_tables();
@@ -82,6 +88,7 @@
     /// When this instance last knew that the platform had no newer tables.
     [[nodiscard]] clock::time_point tables_confirmed_at() const;
     [[nodiscard]] std::uint64_t tables_version() const { return m_state.routes.load()->tables().version; }
+    [[nodiscard]] http_response handle_peer_request(http_request& request);
     [[nodiscard]] peer_snapshot make_snapshot(snapshot_request const& request) const;
     [[nodiscard]] std::vector<poll_candidate> live_members() const;
     void record_store_availability(bool is_available, std::string_view call, std::string_view reason);
@@ -96,7 +103,11 @@
     distribution_plan m_plan;
     transit_delay_estimator m_transit_delays;
     fleet_datagram_socket m_socket;
+    http_server m_peer_server;
+    connection_cache m_peer_connections;
     snapshot_exchange m_snapshots;
+    object_collector m_object_collector;
+    fleet_object_store m_objects;
     home_directory m_homes;
     load_exchange m_load_exchange;
     std::uint64_t m_tables_store_version = 0;
--- a/Libraries/Gateway/gateway/gateway.cpp
+++ b/Libraries/Gateway/gateway/gateway.cpp
@@ -168,7 +168,7 @@
     while (!m_stopping) {
         boost::this_fiber::sleep_for(m_state.settings.account_flush_interval);
         if (!m_stopping) {
-            static_cast<void>(m_state.account.flush(m_store->objects(), {}, false));
+            static_cast<void>(m_state.account.flush(m_fleet_synchronizer->objects(), {}, false));
         }
     }
 }
--- a/Libraries/Gateway/gateway/gateway_settings.cpp
+++ b/Libraries/Gateway/gateway/gateway_settings.cpp
@@ -37,6 +37,8 @@
              "A target with a load report younger than this is not probed, 0 to 10000 ms.");
 DEFINE_int64(log_lines_per_s, 500,
              "Log lines of one event, 1 to 1000000 per second; further lines are only counted.");
+DEFINE_int64(direct_fleet_size, 24,
+             "Fleets up to this size send changes to each instance; larger ones use relays. 1 to 1000.");
 DEFINE_bool(first_start, false, "The entire fleet starts now; registrations are then spread over 2 s.");
 DEFINE_int64(account_capacity, 20000, "Account records held in memory, 100 to 10000000.");
 
@@ -85,6 +87,7 @@
         result.processor_permille = checked_permille("processors", FLAGS_processors, 0.001);
         result.log_lines_per_second =
             static_cast<std::uint32_t>(checked_integer("log_lines_per_s", FLAGS_log_lines_per_s, 1, 1000000));
+        result.max_direct_fleet_size = checked_count("direct_fleet_size", FLAGS_direct_fleet_size, 1, 1000);
         result.is_first_start = FLAGS_first_start;
         result.journal_capacity = checked_count("account_capacity", FLAGS_account_capacity, 100, 10000000);
         throw_if_invalid();
--- a/Libraries/Gateway/gateway/gateway_settings.hpp
+++ b/Libraries/Gateway/gateway/gateway_settings.hpp
@@ -37,6 +37,7 @@
     std::size_t probed_candidates = 3; ///< Targets that are probed before one is chosen; 0 for none.
     /// A target with a younger load report is not probed.
     std::chrono::milliseconds fresh_report_max_age{25};
+    std::size_t max_direct_fleet_size = 24; ///< A larger fleet distributes changes through relays.
     bool is_first_start = false; ///< The fleet starts as a whole, so all instances register at once.
     std::size_t journal_capacity = 20000;
     std::uint32_t log_lines_per_second = 500; ///< Limit for each event.
--- a/Libraries/Gateway/gateway/snapshot_exchange.cpp
+++ b/Libraries/Gateway/gateway/snapshot_exchange.cpp
@@ -9,10 +9,7 @@
 
 namespace {
 
-constexpr std::string_view snapshot_path = "/snapshot";
 constexpr std::size_t max_snapshot_bytes = std::size_t{16} * 1024 * 1024;
-constexpr std::size_t max_idle_connections_per_peer = 1;
-constexpr auto max_idle_time = std::chrono::seconds(5);
 
 /// A version in the query; an absent one is 0.
 std::uint64_t version_parameter(std::string_view request_target, std::string_view name) {
@@ -31,7 +28,7 @@
 } // namespace
 
 std::string to_request_target(snapshot_request const& request) {
-    return std::string(snapshot_path) + "?tables=" + std::to_string(request.tables_version) +
+    return std::string(snapshot_exchange::path) + "?tables=" + std::to_string(request.tables_version) +
            "&targets=" + std::to_string(request.target_list_version) +
            "&members=" + (request.with_members ? "1" : "0") + "&zone=" + request.zone;
 }
@@ -43,11 +40,10 @@
             .zone = query_parameter(request_target, "zone")};
 }
 
-snapshot_exchange::snapshot_exchange(io_thread& thread, endpoint const& local, std::string own_zone,
-                                     metrics& counters, snapshot_source make_snapshot)
-    : m_own_zone(std::move(own_zone)), m_counters(counters), m_make_snapshot(std::move(make_snapshot)),
-      m_server(thread, local, http_limits{}, [this](http_request& request) { return handle(request); }),
-      m_connections(thread.io(), max_idle_connections_per_peer, max_idle_time) {}
+snapshot_exchange::snapshot_exchange(connection_cache& connections, std::string own_zone, metrics& counters,
+                                     snapshot_source make_snapshot)
+    : m_connections(connections), m_own_zone(std::move(own_zone)), m_counters(counters),
+      m_make_snapshot(std::move(make_snapshot)) {}
 
 peer_snapshot snapshot_exchange::fetch(endpoint const& peer, snapshot_request const& request) {
     auto const deadline = std::chrono::steady_clock::now() + fetch_timeout;
@@ -64,9 +60,6 @@
 
 http_response snapshot_exchange::handle(http_request const& request) const {
     std::string_view const target(request.target().data(), request.target().size());
-    if (target.substr(0, target.find('?')) != snapshot_path) {
-        return make_response(404, "text/plain", "");
-    }
     try {
         auto const wanted = parse_snapshot_request(target);
         auto body = encode_snapshot(m_make_snapshot(wanted));
--- a/Libraries/Gateway/gateway/snapshot_exchange.hpp
+++ b/Libraries/Gateway/gateway/snapshot_exchange.hpp
@@ -4,8 +4,6 @@
 #include "base/metrics.hpp"
 #include "gateway/fleet_messages.hpp"
 #include "protocol/http_connection.hpp"
-#include "protocol/http_server.hpp"
-#include "transport/io_thread.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -32,27 +30,24 @@
 public:
     using snapshot_source = std::function<peer_snapshot(snapshot_request const&)>;
 
-    /// Listens on `local` once started. Throws `connect_failed` when it cannot be bound.
-    snapshot_exchange(io_thread& thread, endpoint const& local, std::string own_zone, metrics& counters,
+    snapshot_exchange(connection_cache& connections, std::string own_zone, metrics& counters,
                       snapshot_source make_snapshot);
 
-    void start() { m_server.start(); }
-    void stop() { m_server.stop_listening(); }
-
     /// Fetches a peer's snapshot; takes up to `fetch_timeout`. Throws `connect_failed`,
     /// `exchange_incomplete`, `deadline_exceeded` or `malformed_message`.
     [[nodiscard]] peer_snapshot fetch(endpoint const& peer, snapshot_request const& request);
 
+    /// Answers a request of another instance's `fetch`.
+    [[nodiscard]] http_response handle(http_request const& request) const;
+
     static constexpr auto fetch_timeout = std::chrono::milliseconds(800);
+    static constexpr std::string_view path = "/snapshot";
 
 private:
-    [[nodiscard]] http_response handle(http_request const& request) const;
-
+    connection_cache& m_connections;
     std::string m_own_zone;
     metrics& m_counters;
     snapshot_source m_make_snapshot;
-    http_server m_server;
-    connection_cache m_connections;
 };
 
 } // namespace pomelospread
--- a/Tests/Coordination/test_distribution_plan.cpp
+++ b/Tests/Coordination/test_distribution_plan.cpp
@@ -179,3 +179,23 @@
         LONGS_EQUAL(2, count);
     }
 }
+
+TEST(distribution_plans, the_objects_of_a_zone_are_submitted_to_one_instance) {
+    for (auto const& shape : shapes) {
+        simulated_fleet const fleet(shape);
+        bool const is_direct = fleet.members().size() <= distribution_limits{}.max_direct_fleet_size;
+        std::map<std::string, std::set<endpoint>> collectors;
+        for (auto const& member : fleet.members()) {
+            auto const& plan = fleet.plan(member.entry.peer_address);
+            CHECK_TEXT(!(plan.collects_objects() && plan.object_collector()), shape.name);
+            if (auto const collector = plan.object_collector()) {
+                collectors[member.entry.zone].insert(*collector);
+                CHECK_TEXT(fleet.plan(*collector).collects_objects(), shape.name);
+            }
+        }
+        LONGS_EQUAL_TEXT(is_direct ? 0 : shape.zones, collectors.size(), shape.name);
+        for (auto const& [zone, addresses] : collectors) {
+            LONGS_EQUAL_TEXT(1, addresses.size(), shape.name);
+        }
+    }
+}
