--- a/Tests/Processes/platform_stand_in.py
+++ b/Tests/Processes/platform_stand_in.py
@@ -71,6 +71,7 @@
         self.oldest_feed_version = 0  # Feeds that start before this version are answered with 410.
         self.feed_calls = 0
         self.total_calls = 0
+        self.object_names = []  # Of the objects that were stored, in order.
         super().__init__()
 
     def put(self, table, key, value):
@@ -100,6 +101,8 @@
             self.total_calls += 1
             if self.down:
                 return 503, {}
+            if "/blob-put/" in path:
+                self.object_names.append(path.rsplit("/", 1)[1])
             if path.endswith("rows-tx"):
                 for row in json.loads(body)["puts"]:
                     self.put_encoded(row["table"], row["key"], row["value"])
@@ -225,18 +228,18 @@
 class ForwardingInstance:
     """A forwarding instance with its own loopback address."""
 
-    def __init__(self, host, ports, store, folder, seeds=""):
+    def __init__(self, host, ports, store, folder, seeds="", settings=None):
         self.host = host
         self.ports = ports
         self.log_path = pathlib.Path(folder) / f"{host}-{time.monotonic_ns()}.log"
         flags = {name: f"{host}:{port}" for name, port in ports.items()}
-        flags |= {"store": store.address, "own_zone": "z", "seeds": seeds, "stop_grace_s": 3}
-        settings = self.log_path.with_suffix(".settings")
-        settings.write_text("".join(f"--{name}={value}\n" for name, value in flags.items()))
+        flags |= {"store": store.address, "own_zone": "z", "seeds": seeds, "stop_grace_s": 3} | (settings or {})
+        settings_path = self.log_path.with_suffix(".settings")
+        settings_path.write_text("".join(f"--{name}={value}\n" for name, value in flags.items()))
         with open(self.log_path, "wb") as output:
             self.child = subprocess.Popen([BUILD / "Programs/pomelospread", "forward"], stdin=subprocess.DEVNULL,
                                           stdout=output, stderr=subprocess.STDOUT,
-                                          env=os.environ | {"POMELOSPREAD_SETTINGS": str(settings)})
+                                          env=os.environ | {"POMELOSPREAD_SETTINGS": str(settings_path)})
 
     def exchange(self, listener, request, timeout=5):
         with socket.create_connection((self.host, self.ports[listener]), timeout) as connection:
