--- a/Libraries/State/state/account_journal.cpp
+++ b/Libraries/State/state/account_journal.cpp
@@ -138,15 +138,16 @@
 }
 
 bool account_journal::add_replica(std::uint64_t owner, std::uint64_t sequence, account_record record) {
-    auto& replicas = m_replicas[owner];
-    if (auto const found = replicas.find(sequence); found != replicas.end()) {
-        found->second = std::move(record);
-        return true;
+    if (auto const replicas = m_replicas.find(owner); replicas != m_replicas.end()) {
+        if (auto const found = replicas->second.find(sequence); found != replicas->second.end()) {
+            found->second = std::move(record);
+            return true;
+        }
     }
     if (size() >= m_capacity) {
         return false;
     }
-    replicas.emplace(sequence, std::move(record));
+    m_replicas[owner].emplace(sequence, std::move(record));
     ++m_replica_count;
     return true;
 }
--- a/Tests/State/test_account_journal.cpp
+++ b/Tests/State/test_account_journal.cpp
@@ -60,3 +60,10 @@
     CHECK(journal.replica_owners().empty());
     LONGS_EQUAL(0, journal.size());
 }
+
+TEST(account_journal, a_replica_that_a_full_journal_rejects_leaves_no_owner_to_recover) {
+    account_journal journal(7, 1);
+    CHECK(journal.append(record_of("a")).has_value());
+    CHECK_FALSE(journal.add_replica(9, 1, record_of("b")));
+    LONGS_EQUAL(0, journal.replica_owners().size());
+}
