Transport: Let run_and_wait throw what its work throws

Cause: work that threw ended its fiber without a value, and the waiting thread, for example at a planned stop, waited for ever.

--- a/Libraries/Transport/transport/io_thread.cpp
+++ b/Libraries/Transport/transport/io_thread.cpp
@@ -8,6 +8,7 @@
 #include <pthread.h>
 #include <urcu/urcu-memb.h>
 
+#include <exception>
 #include <future>
 #include <mutex>
 
@@ -41,10 +42,14 @@
 void io_thread::run_and_wait(std::function<void()> const& work) {
     std::promise<void> done;
     spawn([&] {
-        work();
-        done.set_value();
+        try {
+            work();
+            done.set_value();
+        } catch (...) {
+            done.set_exception(std::current_exception());
+        }
     });
-    done.get_future().wait();
+    done.get_future().get();
 }
 
 void io_thread::start_fiber(std::function<void()> work) {
--- a/Libraries/Transport/transport/io_thread.hpp
+++ b/Libraries/Transport/transport/io_thread.hpp
@@ -35,8 +35,8 @@
     /// only that fiber; any other exception ends the process.
     void spawn(std::function<void()> work);
 
-    /// Runs `work` in a fiber of this thread and waits for its end. Must not be called from a fiber of this
-    /// thread. `work` must not throw: the wait would never end.
+    /// Runs `work` in a fiber of this thread, waits for its end and throws what it threw. Must not be called
+    /// from a fiber of this thread.
     void run_and_wait(std::function<void()> const& work);
 
     /// Waits until every fiber has ended and joins the thread. The io_context remains, so that sockets and
--- a/Tests/Transport/test_fibers.cpp
+++ b/Tests/Transport/test_fibers.cpp
@@ -17,6 +17,7 @@
 #include <ctime>
 #include <future>
 #include <mutex>
+#include <stdexcept>
 #include <thread>
 #include <vector>
 
@@ -157,3 +158,8 @@
         }).join();
     }
 }
+
+TEST(fibers, run_and_wait_passes_on_what_its_work_throws) {
+    io_thread thread("test");
+    CHECK_THROWS(std::runtime_error, thread.run_and_wait([] { throw std::runtime_error("failed"); }));
+}
