Gateway: Send every load update of a round, and renew no probe tokens

Cause: updates beyond 60 for one peer and round were dropped, and not sent later unless the target changed again; above 4,096 targets all probe buckets were emptied of their past and so gave each target another token. Unused members of both classes and of target_client are removed. Test: a_round_with_many_changes_is_sent_completely (60 of 150 first). The buckets have no test.

--- a/Libraries/Gateway/gateway/load_exchange.cpp
+++ b/Libraries/Gateway/gateway/load_exchange.cpp
@@ -29,7 +29,7 @@
 
 void load_exchange::send_updates(std::span<member_view const> members, instance_id self) {
     auto const now = std::chrono::steady_clock::now();
-    std::map<endpoint, fleet_datagram> messages;
+    std::map<endpoint, std::vector<fleet_datagram>> messages;
     for (auto const& [id, change] : m_state.pending_load_changes.take()) {
         auto const* pool = m_state.selector.pool_of(id);
         if (pool == nullptr) {
@@ -55,16 +55,18 @@
                 homes.contains(peer) ||
                 (usage != peer_usage.end() && usage->second.value_at(now) >= min_usage_rounds);
             if (member.entry.id != self && member.status != member_status::suspect && receives_updates) {
-                auto& updates = messages[peer].load_updates;
-                if (updates.size() < max_updates_per_datagram) {
-                    updates.push_back(update);
+                auto& datagrams = messages[peer];
+                if (datagrams.empty() || datagrams.back().load_updates.size() == max_updates_per_datagram) {
+                    datagrams.push_back({.kind = datagram_kind::load_update});
                 }
+                datagrams.back().load_updates.push_back(update);
             }
         }
     }
-    for (auto& [peer, message] : messages) {
-        message.kind = datagram_kind::load_update;
-        m_send(message, peer);
+    for (auto const& [peer, datagrams] : messages) {
+        for (auto const& message : datagrams) {
+            m_send(message, peer);
+        }
     }
 }
 
--- a/Libraries/Gateway/gateway/load_exchange.hpp
+++ b/Libraries/Gateway/gateway/load_exchange.hpp
@@ -54,8 +54,6 @@
     forwarding_state& m_state;
     home_directory const& m_homes;
     send_function m_send;
-    std::map<std::string, time_point> m_last_broadcasts;                    ///< By pool.
-    std::map<std::string, decaying_usage> m_own_usage;                      ///< By pool.
     std::map<std::string, std::map<endpoint, decaying_usage>> m_peer_usage; ///< By pool and instance.
 };
 
--- a/Libraries/Gateway/gateway/load_prober.cpp
+++ b/Libraries/Gateway/gateway/load_prober.cpp
@@ -13,19 +13,22 @@
 constexpr auto probe_timeout = std::chrono::milliseconds(300);
 /// A token bucket holds at most the tokens that are added in this time.
 constexpr double bucket_seconds = 2.0;
-/// Above this number all token buckets are dropped; the bucket of a removed target is otherwise never
-/// removed.
+/// Above this number the buckets of targets that were not probed lately are dropped; the bucket of a removed
+/// target is otherwise never removed.
 constexpr std::size_t max_token_buckets = 4096;
 
 } // namespace
 
 bool load_prober::try_take_token(std::string const& id, steady_time now) {
     if (m_token_buckets.size() > max_token_buckets) {
-        m_token_buckets.clear();
+        // A bucket that has not been used for `bucket_seconds` is as full as a new one.
+        std::erase_if(m_token_buckets, [now](auto const& entry) {
+            return std::chrono::duration<double>(now - entry.second.refilled_at).count() >= bucket_seconds;
+        });
     }
     auto const rate = m_state.probes_per_second(id);
-    auto const [found, added] =
-        m_token_buckets.try_emplace(id, token_bucket{.tokens = 1.0, .refilled_at = now});
+    auto const [found, added] = m_token_buckets.try_emplace(
+        id, token_bucket{.tokens = std::min(1.0, rate * bucket_seconds), .refilled_at = now});
     auto& bucket = found->second;
     bucket.tokens =
         std::min(rate * bucket_seconds,
--- a/Libraries/Gateway/gateway/target_client.cpp
+++ b/Libraries/Gateway/gateway/target_client.cpp
@@ -56,7 +56,6 @@
     beast::flat_buffer buffer{max_buffered_bytes};
     steady_time usable_until{};
     bool write_done = true;
-    bool write_failed = false;
 };
 
 void target_client::exchange_handle::cancel() {
@@ -114,13 +113,11 @@
     handle.m_connection = target_connection;
     handle.m_sent = true;
     target_connection->write_done = false;
-    target_connection->write_failed = false;
     target_connection->stream.expires_at(deadline);
     // Writes concurrently with the read: a target may respond before it has read a long body.
     http::async_write(target_connection->stream, *request,
                       [target_connection, request](boost::system::error_code failure, std::size_t /*bytes*/) {
                           target_connection->write_done = !failure;
-                          target_connection->write_failed = static_cast<bool>(failure);
                       });
     bool reusable = false;
     auto report = read_response(*target_connection, *request, kind, reusable);
--- a/Libraries/Gateway/gateway/target_client.hpp
+++ b/Libraries/Gateway/gateway/target_client.hpp
@@ -84,9 +84,6 @@
         std::erase_if(m_idle_connections,
                       [&](auto const& entry) { return !should_keep(entry.first.first, entry.first.second); });
     }
-    void set_max_idle_connections_per_target(std::size_t count) noexcept {
-        m_limits.max_idle_connections_per_target = count;
-    }
 
 private:
     /// Target id and address; a target may return under its id at another address.
--- a/Tests/Gateway/test_load_exchange.cpp
+++ b/Tests/Gateway/test_load_exchange.cpp
@@ -77,6 +77,30 @@
     DOUBLES_EQUAL(1, state.selector.available_capacity("p", now), 0.01);
 }
 
+TEST(load_exchange_updates, a_round_with_many_changes_is_sent_completely) {
+    constexpr std::size_t target_count = 150;
+    std::vector<listed_target> targets;
+    for (std::size_t i = 0; i < target_count; ++i) {
+        targets.push_back({.id = "t" + std::to_string(i), .pool = "p", .zone = "z", .slots = 6});
+        state.pending_load_changes.record_attempt_started(targets.back().id);
+    }
+    state.selector.set_targets(targets, std::chrono::steady_clock::now());
+    routing_tables content{.version = 1};
+    content.pools.push_back({.name = "p"});
+    content.routes.push_back({.name = "r", .host = "a.example", .path_prefix = "/", .pool = "p"});
+    homes.refresh(route_index(content), members);
+    exchange.send_updates(members, 1);
+    std::map<std::string, std::size_t> counts;
+    for (auto const& [address, message] : sent) {
+        counts[address] += message.load_updates.size();
+        CHECK(encode_datagram(message).size() <= 1400);
+    }
+    CHECK(!counts.empty());
+    for (auto const& [address, count] : counts) {
+        LONGS_EQUAL(target_count, count);
+    }
+}
+
 TEST_GROUP(fleet_messages_codec){};
 
 TEST(fleet_messages_codec, messages_round_trip_and_other_bytes_throw_malformed_message) {
