Choice: Count no request of an earlier incarnation of a target

Cause: a request that ended after its target had been replaced under the same id lowered the new incarnation's count of requests and raised its failure rate.

--- a/Libraries/Coordination/coordination/target_selector.cpp
+++ b/Libraries/Coordination/coordination/target_selector.cpp
@@ -255,6 +255,7 @@
 
 target_choice target_selector::make_choice(candidate_estimate const& value) {
     return {.id = value.target->listed.id,
+            .incarnation = value.target->listed.started_unix_ms,
             .address = value.target->listed.address,
             .expected_ms = value.expected_ms,
             .available_capacity = value.available_capacity,
@@ -358,11 +359,9 @@
     return is_fresh ? std::optional(choice.slowdown) : std::nullopt;
 }
 
-void target_selector::attempt_finished(std::string const& id, attempt_outcome outcome,
-                                       std::chrono::nanoseconds latency, std::optional<double> slowdown,
-                                       time_point now) {
-    auto const found = m_targets.find(id);
-    if (found == m_targets.end()) {
+void target_selector::attempt_finished(finished_attempt const& result, time_point now) {
+    auto const found = m_targets.find(result.target);
+    if (found == m_targets.end() || found->second.listed.started_unix_ms != result.incarnation) {
         return;
     }
     auto& state = found->second;
@@ -370,11 +369,12 @@
     state.load_changed_at = now;
     auto& pool = m_pools[state.listed.pool];
     double failure = 0;
-    switch (outcome) {
+    switch (result.outcome) {
     case attempt_outcome::succeeded: {
-        auto const normalized_ms = to_ms(latency) / std::max(1.0, slowdown.value_or(pool.mean_slowdown));
+        auto const normalized_ms =
+            to_ms(result.latency) / std::max(1.0, result.slowdown.value_or(pool.mean_slowdown));
         update_mean(pool.typical_service_ms, normalized_ms, service_time_weight);
-        update_mean(pool.mean_service_ms, to_ms(latency), service_time_weight);
+        update_mean(pool.mean_service_ms, to_ms(result.latency), service_time_weight);
         break;
     }
     case attempt_outcome::failed:
--- a/Libraries/Coordination/coordination/target_selector.hpp
+++ b/Libraries/Coordination/coordination/target_selector.hpp
@@ -41,8 +41,9 @@
     /// slow down when nearly full, so that using the last slots costs throughput.
     double usable_slot_share = 0.8;
     std::int64_t full_use_max_slots = 3;
-    /// A target whose expected time exceeds the lowest one of its pool by more than this factor contributes
-    /// no available capacity; otherwise a target that does not respond would appear to be free forever.
+    /// A target whose expected time exceeds the lowest one that its pool has without load by more than this
+    /// factor contributes no available capacity; otherwise a target that does not respond would appear to be
+    /// free forever, and under overload a slow target would seem as good as a fast one with a queue.
     double max_latency_factor = 2.5;
     /// Half-life of a target's failure rate, so that a target that recovered is used again.
     std::chrono::milliseconds failure_half_life{3000};
@@ -73,9 +74,20 @@
     cancelled, ///< This instance abandoned the attempt.
 };
 
+/// How an attempt at a target ended.
+struct finished_attempt {
+    std::string const& target;
+    std::int64_t incarnation = 0; ///< Of the target when it was chosen.
+    attempt_outcome outcome = attempt_outcome::succeeded;
+    std::chrono::nanoseconds latency{}; ///< Used only when the outcome is `succeeded`.
+    /// What the choice knew of the target from a fresh report; without one, the pool's mean is assumed.
+    std::optional<double> slowdown;
+};
+
 /// Why a target was chosen, for the log line of the decision.
 struct target_choice {
     std::string id;
+    std::int64_t incarnation = 0; ///< `listed_target::started_unix_ms`.
     endpoint address;
     double expected_ms = 0;        ///< Time to the response, including the penalty for failures.
     double available_capacity = 0; ///< Further requests that the target can take without being nearly full.
@@ -112,11 +124,9 @@
                                                       random_source& random) const;
 
     void attempt_started(std::string const& id, time_point now);
-    /// `latency` is used only when the outcome is `succeeded`. `slowdown` is what the choice knew of the
-    /// target from a fresh report; without one, the pool's mean is assumed.
-    void attempt_finished(std::string const& id, attempt_outcome outcome, std::chrono::nanoseconds latency,
-                          std::optional<double> slowdown, time_point now);
-    /// The slowdown to pass to `attempt_finished` for a request that was sent after this choice.
+    /// Ignored when the target has been replaced by another incarnation meanwhile.
+    void attempt_finished(finished_attempt const& result, time_point now);
+    /// The slowdown of `finished_attempt` for a request that is sent after this choice.
     [[nodiscard]] std::optional<double> known_slowdown(target_choice const& choice) const;
     /// Applies another instance's number of requests in flight at the target and its number of new failures.
     void update_peer_load(std::uint64_t peer, std::string const& id, std::uint32_t in_flight,
--- a/Libraries/Gateway/gateway/request_dispatcher.cpp
+++ b/Libraries/Gateway/gateway/request_dispatcher.cpp
@@ -108,6 +108,7 @@
 struct request_dispatcher::attempt_state {
     std::string target;
     endpoint address;
+    std::int64_t incarnation = 0;
     std::optional<double> slowdown; ///< Of the target, as the choice knew it.
     std::shared_ptr<http_request> request;
     steady_time started;
@@ -307,6 +308,7 @@
     auto state = std::make_shared<attempt_state>();
     state->target = choice.id;
     state->address = choice.address;
+    state->incarnation = choice.incarnation;
     state->slowdown = m_state.selector.known_slowdown(choice);
     state->started = now;
     state->deadline = request.deadline + response_grace_period;
@@ -363,7 +365,12 @@
     } else if (report.response->result_int() >= 500) {
         outcome = attempt_outcome::failed;
     }
-    m_state.selector.attempt_finished(state.target, outcome, now - state.started, state.slowdown, now);
+    m_state.selector.attempt_finished({.target = state.target,
+                                       .incarnation = state.incarnation,
+                                       .outcome = outcome,
+                                       .latency = now - state.started,
+                                       .slowdown = state.slowdown},
+                                      now);
     m_state.counters.target_latency.observe(now - state.started);
     if (report.target_load_report) {
         m_state.selector.apply_load_report(state.target, *report.target_load_report, now);
--- a/Tests/Coordination/test_target_selector.cpp
+++ b/Tests/Coordination/test_target_selector.cpp
@@ -80,7 +80,8 @@
     DOUBLES_EQUAL(8, selector.available_capacity("p", now), 0.01);
     for (int i = 0; i < 3; ++i) {
         selector.attempt_started("unresponsive", now);
-        selector.attempt_finished("unresponsive", attempt_outcome::timed_out, 1s, {}, now);
+        selector.attempt_finished(
+            {.target = "unresponsive", .outcome = attempt_outcome::timed_out, .latency = 1s}, now);
     }
     DOUBLES_EQUAL(4, selector.available_capacity("p", now), 0.01);
     LONGS_EQUAL(100, count_choices(100)["healthy"]);
@@ -90,7 +91,7 @@
     list({target("a"), target("b")});
     for (auto const* id : {"a", "b"}) {
         selector.attempt_started(id, now);
-        selector.attempt_finished(id, attempt_outcome::failed, 10ms, {}, now);
+        selector.attempt_finished({.target = id, .outcome = attempt_outcome::failed, .latency = 10ms}, now);
     }
     DOUBLES_EQUAL(8, selector.available_capacity("p", now), 0.01);
     CHECK(selector.choose("p", {}, now, random).has_value());
@@ -270,7 +271,8 @@
             selector.attempt_started("busy", now - 500ms);
         }
         if (i == 0) {
-            selector.attempt_finished("busy", attempt_outcome::succeeded, 200ms, {}, now);
+            selector.attempt_finished(
+                {.target = "busy", .outcome = attempt_outcome::succeeded, .latency = 200ms}, now);
         } else {
             selector.update_peer_load(1, "busy", 4, 0, now - 500ms);
             selector.update_peer_load(1, "busy", 3, 0, now);
@@ -323,8 +325,8 @@
         bool const is_slow = i % 4 == 0;
         selector.apply_load_report("a", is_slow ? slow : normal, now);
         selector.attempt_started("a", now);
-        selector.attempt_finished("a", attempt_outcome::succeeded, is_slow ? 1000ms : 200ms,
-                                  is_slow ? 5.0 : 1.0, now);
+        selector.attempt_finished(
+            {.target = "a", .latency = is_slow ? 1000ms : 200ms, .slowdown = is_slow ? 5.0 : 1.0}, now);
     }
     DOUBLES_EQUAL(200e6, static_cast<double>(selector.typical_service_time("p").count()), 5e6);
     CHECK(selector.current_service_time("p") > 300ms);
