Choice: Compare targets with the fastest one without load, also under overload

Change: capacity and choice compare with the least expected time without load.

Test: a_slow_target_has_no_capacity_while_the_fast_ones_are_full, failed first.

--- a/Libraries/Coordination/coordination/target_selector.cpp
+++ b/Libraries/Coordination/coordination/target_selector.cpp
@@ -124,7 +124,7 @@
     if (estimates.empty()) {
         return 0;
     }
-    auto const least = least_expected_ms(estimates);
+    auto const least = least_unloaded_ms(estimates);
     double capacity = 0;
     for (auto const& each : estimates) {
         capacity += is_eligible(each, least) ? each.available_capacity : 0;
@@ -132,8 +132,9 @@
     return capacity;
 }
 
-bool target_selector::is_eligible(candidate_estimate const& value, double least_ms) const {
-    return value.available_capacity >= 1.0 && value.expected_ms <= least_ms * m_policy.max_latency_factor;
+bool target_selector::is_eligible(candidate_estimate const& value, double least_unloaded_ms) const {
+    return value.available_capacity >= 1.0 &&
+           value.expected_ms <= least_unloaded_ms * m_policy.max_latency_factor;
 }
 
 std::uint32_t target_selector::own_pool_in_flight(std::string_view pool) const {
@@ -212,23 +213,21 @@
     }
     auto const slots = static_cast<double>(std::max<std::int64_t>(1, state.listed.slots));
     auto const load = state.in_flight + others + 1.0;
-    double service_ms = typical_ms * slowdown;
+    auto const warm_at = state.list_updated_at + std::chrono::milliseconds(state.listed.warm_up_remaining_ms);
+    auto const unloaded_service_ms =
+        typical_ms * slowdown * (warm_at > now ? m_policy.cold_start_factor : 1.0);
+    auto service_ms = unloaded_service_ms;
     auto const fill = std::min(1.0, load / slots);
     if (fill > nearly_full_threshold) {
         service_ms *=
             1.0 + nearly_full_slowdown * (fill - nearly_full_threshold) / (1.0 - nearly_full_threshold);
     }
-    auto const warm_at = state.list_updated_at + std::chrono::milliseconds(state.listed.warm_up_remaining_ms);
-    if (warm_at > now) {
-        service_ms *= m_policy.cold_start_factor;
-    }
     auto const queueing_ms = std::max(0.0, load - slots) / slots * typical_ms * pool.mean_slowdown;
     auto const current_failure_rate = failure_rate(state, now);
-    estimate.expected_ms =
-        service_ms + queueing_ms + current_failure_rate * m_policy.failure_penalty_factor * typical_ms;
-    if (state.listed.zone != m_own_zone) {
-        estimate.expected_ms += to_ms(m_policy.cross_zone_penalty);
-    }
+    auto const fixed_ms = current_failure_rate * m_policy.failure_penalty_factor * typical_ms +
+                          (state.listed.zone == m_own_zone ? 0.0 : to_ms(m_policy.cross_zone_penalty));
+    estimate.unloaded_ms = unloaded_service_ms + fixed_ms;
+    estimate.expected_ms = service_ms + queueing_ms + fixed_ms;
     auto const usable_slots = state.listed.slots <= m_policy.full_use_max_slots
                                   ? slots
                                   : std::floor(slots * m_policy.usable_slot_share);
@@ -267,12 +266,16 @@
             .failure_rate = value.failure_rate};
 }
 
+double target_selector::least_unloaded_ms(std::span<candidate_estimate const> estimates) {
+    return std::ranges::min_element(estimates, {}, &candidate_estimate::unloaded_ms)->unloaded_ms;
+}
+
 double target_selector::least_expected_ms(std::span<candidate_estimate const> estimates) {
     return std::ranges::min_element(estimates, {}, &candidate_estimate::expected_ms)->expected_ms;
 }
 
 void target_selector::keep_preferred(std::vector<candidate_estimate>& estimates) const {
-    auto const least = least_expected_ms(estimates);
+    auto const least = least_unloaded_ms(estimates);
     auto const is_eligible_candidate = [&](auto const& each) { return is_eligible(each, least); };
     if (std::ranges::any_of(estimates, is_eligible_candidate)) {
         // At a target with many slots, using the last ones slows down all of its requests, so such a target
@@ -296,7 +299,7 @@
         return std::nullopt;
     }
     auto const candidates = estimates.size();
-    auto const least_before_filter = least_expected_ms(estimates);
+    auto const least_before_filter = least_unloaded_ms(estimates);
     keep_preferred(estimates);
     auto const least = least_expected_ms(estimates);
     std::erase_if(estimates, [&](auto const& each) {
--- a/Libraries/Coordination/coordination/target_selector.hpp
+++ b/Libraries/Coordination/coordination/target_selector.hpp
@@ -192,6 +192,7 @@
     struct candidate_estimate {
         target_state const* target = nullptr;
         double expected_ms = 0;
+        double unloaded_ms = 0; ///< What `expected_ms` would be without any request in flight.
         double available_capacity = 0;
         double slowdown = 1.0;
         double other_in_flight = 0;
@@ -208,8 +209,9 @@
     [[nodiscard]] std::vector<candidate_estimate>
     estimate_candidates(pool_state const& pool, std::span<std::string const> excluded, time_point now) const;
     /// Whether the target contributes to the pool's available capacity: it can take a further request, and
-    /// its expected time is at most `max_latency_factor` times `least_ms`, the lowest of the pool.
-    [[nodiscard]] bool is_eligible(candidate_estimate const& value, double least_ms) const;
+    /// its expected time is at most `max_latency_factor` times `least_unloaded_ms`, the lowest of the pool.
+    [[nodiscard]] bool is_eligible(candidate_estimate const& value, double least_unloaded_ms) const;
+    [[nodiscard]] static double least_unloaded_ms(std::span<candidate_estimate const> estimates);
     /// Removes the estimates of targets that are not chosen while others are preferred; `estimates` is not
     /// empty, before and after.
     void keep_preferred(std::vector<candidate_estimate>& estimates) const;
--- a/Tests/Coordination/test_target_selector.cpp
+++ b/Tests/Coordination/test_target_selector.cpp
@@ -342,3 +342,33 @@
         DOUBLES_EQUAL(1.0, sum, 1e-9);
     }
 }
+
+TEST(target_selectors, a_request_of_an_earlier_incarnation_does_not_lower_the_count_of_the_new_one) {
+    list({target("a")});
+    auto const before = *selector.choose("p", {}, now, random);
+    selector.attempt_started("a", now);
+    auto restarted = target("a");
+    restarted.started_unix_ms = 7;
+    list({restarted});
+    auto const after = *selector.choose("p", {}, now, random);
+    selector.attempt_started("a", now);
+    selector.attempt_finished(
+        {.target = "a", .incarnation = before.incarnation, .outcome = attempt_outcome::failed}, now);
+    LONGS_EQUAL(1, selector.own_in_flight("a"));
+    DOUBLES_EQUAL(0, selector.choose("p", {}, now, random)->failure_rate, 1e-9);
+    selector.attempt_finished({.target = "a", .incarnation = after.incarnation, .latency = 10ms}, now);
+    LONGS_EQUAL(0, selector.own_in_flight("a"));
+}
+
+TEST(target_selectors, a_slow_target_has_no_capacity_while_the_fast_ones_are_full) {
+    list({target("fast", 4), target("slow", 4)});
+    for (int request = 0; request < 6; ++request) {
+        selector.attempt_started("fast", now);
+    }
+    selector.apply_load_report("fast", {.running = 4, .waiting = 2, .slots = 4, .slowdown = 1.0}, now);
+    selector.apply_load_report("slow", {.running = 0, .waiting = 0, .slots = 4, .slowdown = 5.0}, now);
+    CHECK(selector.available_capacity("p", now) < 1);
+    CHECK_FALSE(selector.choose("p", {}, now, random)->is_eligible);
+    selector.apply_load_report("slow", {.running = 0, .waiting = 0, .slots = 4, .slowdown = 1.0}, now + 1ms);
+    CHECK(selector.available_capacity("p", now + 1ms) >= 1);
+}
