Gateway: Deliver a target's failure when the retry has no response in time

Cause: a 5xx response to an idempotent request is kept while another target is tried; when that one had no response by the deadline, the caller got a 504 of the instance's own instead of the response that was ready. Test: test_failure_response_is_delivered_when_the_retry_has_no_response_in_time, failed first (504 instead of 500).

--- a/Libraries/Gateway/gateway/request_dispatcher.cpp
+++ b/Libraries/Gateway/gateway/request_dispatcher.cpp
@@ -465,6 +465,9 @@
         }
         if (now >= request.deadline + response_grace_period) {
             attempts->cancel_unfinished();
+            if (error_response) {
+                return finish_request(request, std::move(*error_response), "ran");
+            }
             if (attempts->sent_count() == 0) {
                 return finish_not_run(request, "the time ended before a target was reached");
             }
--- a/Tests/Processes/platform_stand_in.py
+++ b/Tests/Processes/platform_stand_in.py
@@ -148,6 +148,8 @@
 class TargetStandIn(TcpServer):
     """Executes requests. The last segment of the path selects the fault to inject, if faults are enabled."""
 
+    failed_ids = set()  # Of the requests that some target answered with status 500, for the fault `failfirst`.
+
     def __init__(self, name, faults_enabled=True):
         self.name = name
         self.faults_enabled = faults_enabled
@@ -179,6 +181,12 @@
                 self.respond(connection, request_id, "503 Full", "Not-Executed: 1\r\n")
                 continue
             self.executed_ids.append(request_id)
+            if behaviour == "failfirst":
+                if request_id not in TargetStandIn.failed_ids:
+                    TargetStandIn.failed_ids.add(request_id)
+                    self.respond(connection, request_id, "500 Failed")
+                    continue
+                behaviour = "slow3"
             if behaviour == "die":
                 return
             if behaviour == "cut":
--- a/Tests/Processes/test_forwarding.py
+++ b/Tests/Processes/test_forwarding.py
@@ -98,6 +98,20 @@
                 if status == 200:
                     self.assertEqual(body, f"i-sound r{i}{fault}".encode())
 
+    def test_failure_response_is_delivered_when_the_retry_has_no_response_in_time(self):
+        other_faulty = TargetStandIn("i-faulty-2")
+        self.publish_target(other_faulty, "s")
+        self.store.remove("servers", "i-sound")
+        self.wait_until(lambda: self.instance.send_request("/read/plain", f"p{time.monotonic_ns()}")[2].startswith(
+            b"i-faulty-2"))
+        time.sleep(1)
+        for i in range(10):
+            self.instance.send_request("/read/plain", f"budget{i}")  # Each allows a part of a retry.
+        status, headers, _ = self.instance.send_request("/read/failfirst", "ff", deadline_ms=700)
+        self.assertEqual((self.faulty.executed_ids + other_faulty.executed_ids).count("ff"), 2)
+        self.assertEqual(status, 500)
+        self.assertIn("server-signature", headers)
+
     def test_request_that_was_not_run_gets_retry_after(self):
         status, headers, _ = self.instance.send_request("/write/shed", "s1", "POST", b"x")
         self.assertEqual(status, 503)
