Choice: Let one failure of a target not take its capacity

One timeout adds 2.4 times the usual work and fades with a half-life of 3 s, so under overload, where each target runs into some deadlines, half of the free targets were left out for two seconds after each, and requests were refused beside them: what kept the fleet from recovering after the faults.

Change: capacity compares times without that penalty, and failure rates by themselves: one failure stays within, two in a row do not unless the whole pool fails. The order of targets still counts failures.

Test: one_failure_leaves_a_target_its_capacity_and_a_series_takes_it, failed first (4 of 8).

--- a/Libraries/Coordination/coordination/target_selector.cpp
+++ b/Libraries/Coordination/coordination/target_selector.cpp
@@ -124,17 +124,25 @@
     if (estimates.empty()) {
         return 0;
     }
-    auto const least = least_unloaded_ms(estimates);
+    auto const bests = find_bests(estimates);
     double capacity = 0;
     for (auto const& each : estimates) {
-        capacity += is_eligible(each, least) ? each.available_capacity : 0;
+        capacity += is_eligible(each, bests) ? each.available_capacity : 0;
     }
     return capacity;
 }
 
-bool target_selector::is_eligible(candidate_estimate const& value, double least_unloaded_ms) const {
+bool target_selector::is_eligible(candidate_estimate const& value, pool_bests const& bests) const {
     return value.available_capacity >= 1.0 &&
-           value.expected_ms <= least_unloaded_ms * m_policy.max_latency_factor;
+           value.service_ms <= bests.unloaded_ms * m_policy.max_latency_factor &&
+           value.failure_rate <= bests.failure_rate + m_policy.max_failure_rate_excess;
+}
+
+target_selector::pool_bests target_selector::find_bests(std::span<candidate_estimate const> estimates) {
+    return {.unloaded_ms =
+                std::ranges::min_element(estimates, {}, &candidate_estimate::unloaded_ms)->unloaded_ms,
+            .failure_rate =
+                std::ranges::min_element(estimates, {}, &candidate_estimate::failure_rate)->failure_rate};
 }
 
 std::uint32_t target_selector::own_pool_in_flight(std::string_view pool) const {
@@ -224,10 +232,11 @@
     }
     auto const queueing_ms = std::max(0.0, load - slots) / slots * typical_ms * pool.mean_slowdown;
     auto const current_failure_rate = failure_rate(state, now);
-    auto const fixed_ms = current_failure_rate * m_policy.failure_penalty_factor * typical_ms +
-                          (state.listed.zone == m_own_zone ? 0.0 : to_ms(m_policy.cross_zone_penalty));
-    estimate.unloaded_ms = unloaded_service_ms + fixed_ms;
-    estimate.expected_ms = service_ms + queueing_ms + fixed_ms;
+    auto const latency_ms = state.listed.zone == m_own_zone ? 0.0 : to_ms(m_policy.cross_zone_penalty);
+    estimate.unloaded_ms = unloaded_service_ms + latency_ms;
+    estimate.service_ms = service_ms + queueing_ms + latency_ms;
+    estimate.expected_ms =
+        estimate.service_ms + current_failure_rate * m_policy.failure_penalty_factor * typical_ms;
     auto const usable_slots = state.listed.slots <= m_policy.full_use_max_slots
                                   ? slots
                                   : std::floor(slots * m_policy.usable_slot_share);
@@ -266,17 +275,13 @@
             .failure_rate = value.failure_rate};
 }
 
-double target_selector::least_unloaded_ms(std::span<candidate_estimate const> estimates) {
-    return std::ranges::min_element(estimates, {}, &candidate_estimate::unloaded_ms)->unloaded_ms;
-}
-
 double target_selector::least_expected_ms(std::span<candidate_estimate const> estimates) {
     return std::ranges::min_element(estimates, {}, &candidate_estimate::expected_ms)->expected_ms;
 }
 
 void target_selector::keep_preferred(std::vector<candidate_estimate>& estimates) const {
-    auto const least = least_unloaded_ms(estimates);
-    auto const is_eligible_candidate = [&](auto const& each) { return is_eligible(each, least); };
+    auto const bests = find_bests(estimates);
+    auto const is_eligible_candidate = [&](auto const& each) { return is_eligible(each, bests); };
     if (std::ranges::any_of(estimates, is_eligible_candidate)) {
         // At a target with many slots, using the last ones slows down all of its requests, so such a target
         // is dropped unless it is eligible. With few slots, a short wait at a fast target can be better than
@@ -299,7 +304,7 @@
         return std::nullopt;
     }
     auto const candidates = estimates.size();
-    auto const least_before_filter = least_unloaded_ms(estimates);
+    auto const bests = find_bests(estimates);
     keep_preferred(estimates);
     auto const least = least_expected_ms(estimates);
     std::erase_if(estimates, [&](auto const& each) {
@@ -308,7 +313,7 @@
     auto const& estimate = estimates[random() % estimates.size()];
     auto chosen = make_choice(estimate);
     chosen.candidate_count = candidates;
-    chosen.is_eligible = is_eligible(estimate, least_before_filter);
+    chosen.is_eligible = is_eligible(estimate, bests);
     return chosen;
 }
 
--- a/Libraries/Coordination/coordination/target_selector.hpp
+++ b/Libraries/Coordination/coordination/target_selector.hpp
@@ -45,6 +45,9 @@
     /// factor contributes no available capacity; otherwise a target that does not respond would appear to be
     /// free forever, and under overload a slow target would seem as good as a fast one with a queue.
     double max_latency_factor = 2.5;
+    /// A target whose failure rate exceeds the lowest one of its pool by more than this contributes none
+    /// either. One failure, as each target has some under overload, stays below it.
+    double max_failure_rate_excess = 0.4;
     /// Half-life of a target's failure rate, so that a target that recovered is used again.
     std::chrono::milliseconds failure_half_life{3000};
     /// Weight of the newest outcome in a target's failure rate.
@@ -192,7 +195,8 @@
     struct candidate_estimate {
         target_state const* target = nullptr;
         double expected_ms = 0;
-        double unloaded_ms = 0; ///< What `expected_ms` would be without any request in flight.
+        double service_ms = 0;  ///< Expected time without the penalty for failures.
+        double unloaded_ms = 0; ///< What `service_ms` would be without any request in flight.
         double available_capacity = 0;
         double slowdown = 1.0;
         double other_in_flight = 0;
@@ -208,10 +212,15 @@
 
     [[nodiscard]] std::vector<candidate_estimate>
     estimate_candidates(pool_state const& pool, std::span<std::string const> excluded, time_point now) const;
-    /// Whether the target contributes to the pool's available capacity: it can take a further request, and
-    /// its expected time is at most `max_latency_factor` times `least_unloaded_ms`, the lowest of the pool.
-    [[nodiscard]] bool is_eligible(candidate_estimate const& value, double least_unloaded_ms) const;
-    [[nodiscard]] static double least_unloaded_ms(std::span<candidate_estimate const> estimates);
+    /// The best values of a pool, with which its targets are compared.
+    struct pool_bests {
+        double unloaded_ms = 0;
+        double failure_rate = 0;
+    };
+    /// Whether the target contributes to the pool's available capacity: it can take a further request and is
+    /// neither much slower nor fails much more often than the best of its pool.
+    [[nodiscard]] bool is_eligible(candidate_estimate const& value, pool_bests const& bests) const;
+    [[nodiscard]] static pool_bests find_bests(std::span<candidate_estimate const> estimates);
     /// Removes the estimates of targets that are not chosen while others are preferred; `estimates` is not
     /// empty, before and after.
     void keep_preferred(std::vector<candidate_estimate>& estimates) const;
--- a/Tests/Coordination/test_target_selector.cpp
+++ b/Tests/Coordination/test_target_selector.cpp
@@ -372,3 +372,17 @@
     selector.apply_load_report("slow", {.running = 0, .waiting = 0, .slots = 4, .slowdown = 1.0}, now + 1ms);
     CHECK(selector.available_capacity("p", now + 1ms) >= 1);
 }
+
+TEST(target_selectors, one_failure_leaves_a_target_its_capacity_and_a_series_takes_it) {
+    list({target("failing"), target("sound")});
+    auto const fail = [&] {
+        selector.attempt_started("failing", now);
+        selector.attempt_finished({.target = "failing", .outcome = attempt_outcome::timed_out}, now);
+    };
+    fail();
+    DOUBLES_EQUAL(8, selector.available_capacity("p", now), 0.01);
+    LONGS_EQUAL(100, count_choices(100)["sound"]);
+    fail();
+    fail();
+    DOUBLES_EQUAL(4, selector.available_capacity("p", now), 0.01);
+}
