--- a/Libraries/Coordination/coordination/target_selector.cpp
+++ b/Libraries/Coordination/coordination/target_selector.cpp
@@ -88,7 +88,8 @@
 
 double target_selector::claimed_by_others(target_state const& state, time_point now) const {
     auto const delay = slot_claim_delay(state.slot_claim_rank, m_policy.slot_claims);
-    bool const is_claimed = state.slot_claim_rank > 0 && now - state.load_changed_at < delay;
+    bool const is_claimed =
+        !has_few_slots(state) && state.slot_claim_rank > 0 && now - state.load_changed_at < delay;
     return is_claimed ? 1.0 : 0.0;
 }
 
@@ -132,14 +133,24 @@
     return capacity;
 }
 
+bool target_selector::has_few_slots(target_state const& state) const {
+    return state.listed.slots <= m_policy.full_use_max_slots;
+}
+
 bool target_selector::is_eligible(candidate_estimate const& value, pool_bests const& bests) const {
-    return value.available_capacity >= 1.0 &&
-           value.service_ms <= bests.unloaded_ms * m_policy.max_latency_factor &&
+    if (value.available_capacity < 1.0) {
+        return false;
+    }
+    if (has_few_slots(*value.target)) {
+        return value.expected_ms <= bests.expected_ms * m_policy.max_latency_factor;
+    }
+    return value.service_ms <= bests.unloaded_ms * m_policy.max_latency_factor &&
            value.failure_rate <= bests.failure_rate + m_policy.max_failure_rate_excess;
 }
 
 target_selector::pool_bests target_selector::find_bests(std::span<candidate_estimate const> estimates) {
-    return {.unloaded_ms =
+    return {.expected_ms = least_expected_ms(estimates),
+            .unloaded_ms =
                 std::ranges::min_element(estimates, {}, &candidate_estimate::unloaded_ms)->unloaded_ms,
             .failure_rate =
                 std::ranges::min_element(estimates, {}, &candidate_estimate::failure_rate)->failure_rate};
@@ -237,9 +248,7 @@
     estimate.service_ms = service_ms + queueing_ms + latency_ms;
     estimate.expected_ms =
         estimate.service_ms + current_failure_rate * m_policy.failure_penalty_factor * typical_ms;
-    auto const usable_slots = state.listed.slots <= m_policy.full_use_max_slots
-                                  ? slots
-                                  : std::floor(slots * m_policy.usable_slot_share);
+    auto const usable_slots = has_few_slots(state) ? slots : std::floor(slots * m_policy.usable_slot_share);
     estimate.available_capacity = std::max(0.0, usable_slots - state.in_flight - std::round(others));
     estimate.slowdown = slowdown;
     estimate.other_in_flight = others;
@@ -287,7 +296,7 @@
         // is dropped unless it is eligible. With few slots, a short wait at a fast target can be better than
         // a free slot at a slow one; there, the expected time alone decides.
         std::erase_if(estimates, [&](auto const& each) {
-            return each.target->listed.slots > m_policy.full_use_max_slots && !is_eligible_candidate(each);
+            return !has_few_slots(*each.target) && !is_eligible_candidate(each);
         });
     }
 }
@@ -313,7 +322,7 @@
     auto const& estimate = estimates[random() % estimates.size()];
     auto chosen = make_choice(estimate);
     chosen.candidate_count = candidates;
-    chosen.is_eligible = is_eligible(estimate, bests);
+    chosen.is_preferred = has_few_slots(*estimate.target) || is_eligible(estimate, bests);
     return chosen;
 }
 
--- a/Libraries/Coordination/coordination/target_selector.hpp
+++ b/Libraries/Coordination/coordination/target_selector.hpp
@@ -101,8 +101,9 @@
     double other_in_flight = 0;      ///< Requests of other instances, estimated.
     double failure_rate = 0;
     std::size_t candidate_count = 0;
-    /// The target has available capacity and is not much slower than the fastest one of its pool.
-    bool is_eligible = false;
+    /// The target has available capacity and is not much slower than the fastest one of its pool, or it has
+    /// so few slots that a short wait there is as good as a free slot elsewhere.
+    bool is_preferred = false;
 };
 
 /// One instance's state of every listed target. Not thread-safe; time and randomness are passed in.
@@ -214,11 +215,16 @@
     estimate_candidates(pool_state const& pool, std::span<std::string const> excluded, time_point now) const;
     /// The best values of a pool, with which its targets are compared.
     struct pool_bests {
+        double expected_ms = 0;
         double unloaded_ms = 0;
         double failure_rate = 0;
     };
+    /// At most `full_use_max_slots`. All slots of such a target are used, also by several homes at once: a
+    /// slot left free is a large part of its capacity, and a request that waits there waits for few others.
+    [[nodiscard]] bool has_few_slots(target_state const& state) const;
     /// Whether the target contributes to the pool's available capacity: it can take a further request and is
-    /// neither much slower nor fails much more often than the best of its pool.
+    /// neither much slower nor fails much more often than the best of its pool. Targets with few slots are
+    /// compared with the least expected time, queues included.
     [[nodiscard]] bool is_eligible(candidate_estimate const& value, pool_bests const& bests) const;
     [[nodiscard]] static pool_bests find_bests(std::span<candidate_estimate const> estimates);
     /// Removes the estimates of targets that are not chosen while others are preferred; `estimates` is not
--- a/Libraries/Gateway/gateway/request_dispatcher.cpp
+++ b/Libraries/Gateway/gateway/request_dispatcher.cpp
@@ -287,7 +287,7 @@
             m_admission.grant_available_permits(request.pool);
             return false;
         }
-        if (choice->is_eligible || round == max_choice_rounds) {
+        if (choice->is_preferred || round == max_choice_rounds) {
             if (attempts->states.empty()) {
                 m_admission.record_admission(request.pool, request.kind(), now);
             }
