--- a/Libraries/Gateway/gateway/fleet_synchronizer.cpp
+++ b/Libraries/Gateway/gateway/fleet_synchronizer.cpp
@@ -458,8 +458,8 @@
 }
 
 std::optional<endpoint> fleet_synchronizer::choose_snapshot_peer(std::uint32_t round) const {
-    if (auto const relay = m_plan.zone_relay(); relay && round % 2 == 1) {
-        return relay;
+    if (round % 2 == 1 && m_plan.zone_relay()) {
+        return m_plan.zone_relay();
     }
     std::vector<endpoint> peers;
     for (auto const& seed : m_state.settings.seed_addresses) {
--- a/Tests/Transport/test_fibers.cpp
+++ b/Tests/Transport/test_fibers.cpp
@@ -145,6 +145,7 @@
                 changed.wait(lock, [&] { return may_end; });
             });
             std::vector<boost::fibers::fiber> released;
+            released.reserve(static_cast<std::size_t>(released_count));
             for (int i = 0; i < released_count; ++i) {
                 released.push_back(start_fiber([] {}));
             }
