Coordination: Name the shares after the routes that they belong to

Renames only (kind_shares to route_shares, question to poll) and comments; the program's tokens are the same otherwise.

--- a/Libraries/Coordination/coordination/admission_queue.hpp
+++ b/Libraries/Coordination/coordination/admission_queue.hpp
@@ -1,7 +1,7 @@
 // The requests that wait for available capacity of a pool, and the decision whether another request may wait.
 #pragma once
 
-#include "coordination/kind_shares.hpp"
+#include "coordination/route_shares.hpp"
 
 #include <algorithm>
 #include <chrono>
@@ -17,7 +17,7 @@
     using time_point = std::chrono::steady_clock::time_point;
 
     std::int64_t priority = 0;      ///< 0 is the most urgent.
-    std::uint32_t kind = 0;         ///< Stands for the request's route; see `kind_shares`.
+    std::uint32_t route = 0;        ///< Stands for the request's route; see `route_shares`.
     time_point soft_start_deadline; ///< A later start misses the target latency.
     time_point hard_start_deadline; ///< A later start leaves no time for a response before the deadline.
 };
@@ -32,7 +32,7 @@
     refuse, ///< It would most likely be late or not be served, so it is refused at once.
 };
 
-/// Requests that can still be on time are served first: those of underserved kinds, then the others in order
+/// Requests that can still be on time are served first: those of underserved routes, then the others in order
 /// of priority. Under overload the late ones get only the remaining capacity, instead of making every request
 /// late (compare adaptive LIFO: Maurer, "Fail at Scale", ACM Queue 2015). Not thread-safe. `Waiter` is the
 /// owner's handle of a request.
@@ -68,10 +68,10 @@
         m_waiting.push_back({.deadlines = deadlines, .waiter = std::move(waiter)});
     }
 
-    /// A request of this kind arrived, or was sent to a target for the first time; recorded for every
+    /// A request of this route arrived, or was sent to a target for the first time; recorded for every
     /// request, also for those that need not wait.
-    void record_arrival(std::uint32_t kind, time_point now) { m_shares.record_arrival(kind, now); }
-    void record_admission(std::uint32_t kind, time_point now) { m_shares.record_admission(kind, now); }
+    void record_arrival(std::uint32_t route, time_point now) { m_shares.record_arrival(route, now); }
+    void record_admission(std::uint32_t route, time_point now) { m_shares.record_admission(route, now); }
 
     /// Removes and returns the request to serve next.
     [[nodiscard]] std::optional<Waiter> pop(time_point now) {
@@ -110,14 +110,14 @@
     static bool is_late(admission_deadlines const& deadlines, time_point now) {
         return deadlines.soft_start_deadline < now;
     }
-    /// The order among requests that can be on time: underserved kinds first, then by priority.
+    /// The order among requests that can be on time: underserved routes first, then by priority.
     [[nodiscard]] std::int64_t service_rank(admission_deadlines const& deadlines, time_point now) const {
         constexpr std::int64_t underserved_rank = -1;
-        return m_shares.is_underserved(deadlines.kind, now) ? underserved_rank : deadlines.priority;
+        return m_shares.is_underserved(deadlines.route, now) ? underserved_rank : deadlines.priority;
     }
 
     std::list<entry> m_waiting;
-    kind_shares m_shares;
+    route_shares m_shares;
 };
 
 } // namespace pomelospread
--- a/Libraries/Coordination/coordination/distribution_plan.hpp
+++ b/Libraries/Coordination/coordination/distribution_plan.hpp
@@ -20,7 +20,7 @@
     /// Instances of each zone that forward changes within it. With two, a change is not lost with one of
     /// them.
     std::size_t relays_per_zone = 2;
-    /// The first instances in rank hold a question for newer tables at the platform, besides the relays.
+    /// The first instances in rank hold a long poll for newer tables at the platform, besides the relays.
     std::size_t table_watchers = 3;
 };
 
--- a/Libraries/Coordination/coordination/kind_shares.cpp
+++ b/Libraries/Coordination/coordination/route_shares.cpp
@@ -1,10 +1,10 @@
-#include "coordination/kind_shares.hpp"
+#include "coordination/route_shares.hpp"
 
 #include <cmath>
 
 namespace pomelospread {
 
-kind_shares::counts kind_shares::decayed(counts const& value, time_point now) const {
+route_shares::counts route_shares::decayed(counts const& value, time_point now) const {
     if (now <= value.updated_at) {
         return value;
     }
@@ -13,28 +13,28 @@
     return {.arrived = value.arrived * factor, .admitted = value.admitted * factor, .updated_at = now};
 }
 
-void kind_shares::add(std::uint32_t kind, double arrived, double admitted, time_point now) {
-    if (m_kinds.size() >= max_kinds && !m_kinds.contains(kind)) {
-        std::erase_if(m_kinds, [&](auto const& entry) { return decayed(entry.second, now).arrived < 1.0; });
+void route_shares::add(std::uint32_t route, double arrived, double admitted, time_point now) {
+    if (m_routes.size() >= max_routes && !m_routes.contains(route)) {
+        std::erase_if(m_routes, [&](auto const& entry) { return decayed(entry.second, now).arrived < 1.0; });
     }
-    for (auto* const each : {&m_total, &m_kinds[kind]}) {
+    for (auto* const each : {&m_total, &m_routes[route]}) {
         *each = decayed(*each, now);
         each->arrived += arrived;
         each->admitted += admitted;
     }
 }
 
-void kind_shares::record_arrival(std::uint32_t kind, time_point now) {
-    add(kind, 1.0, 0.0, now);
+void route_shares::record_arrival(std::uint32_t route, time_point now) {
+    add(route, 1.0, 0.0, now);
 }
 
-void kind_shares::record_admission(std::uint32_t kind, time_point now) {
-    add(kind, 0.0, 1.0, now);
+void route_shares::record_admission(std::uint32_t route, time_point now) {
+    add(route, 0.0, 1.0, now);
 }
 
-bool kind_shares::is_underserved(std::uint32_t kind, time_point now) const {
-    auto const found = m_kinds.find(kind);
-    if (found == m_kinds.end()) {
+bool route_shares::is_underserved(std::uint32_t route, time_point now) const {
+    auto const found = m_routes.find(route);
+    if (found == m_routes.end()) {
         return false;
     }
     auto const own = decayed(found->second, now);
--- a/Libraries/Gateway/gateway/fleet_synchronizer.cpp
+++ b/Libraries/Gateway/gateway/fleet_synchronizer.cpp
@@ -33,8 +33,8 @@
 constexpr auto registration_retry_delay = milliseconds(1500);
 /// An instance that does not watch the tables asks the platform itself after this silence.
 constexpr auto max_tables_silence = milliseconds(1500);
-/// Such instances, and those that have no target list yet, spread their questions over this time.
-constexpr auto question_spread = milliseconds(700);
+/// Such instances, and those that have no target list yet, spread their polls over this time.
+constexpr auto poll_spread = milliseconds(700);
 /// Longer than the retry delay of a watcher, whose success they are told of.
 constexpr auto non_watcher_retry_delay = milliseconds(2500);
 /// In a fleet that starts as a whole, the registrations are spread over this time, since the platform takes
@@ -123,7 +123,7 @@
 // Routing tables
 
 fleet_synchronizer::clock::time_point fleet_synchronizer::tables_confirmed_at() const {
-    return m_is_table_question_open ? clock::now() : m_tables_confirmed_at;
+    return m_is_table_poll_open ? clock::now() : m_tables_confirmed_at;
 }
 
 tables_state fleet_synchronizer::current_tables_state() const {
@@ -138,7 +138,7 @@
 
 void fleet_synchronizer::watch_tables() {
     std::uint32_t failures = 0;
-    auto const max_silence = max_tables_silence + random_up_to(question_spread);
+    auto const max_silence = max_tables_silence + random_up_to(poll_spread);
     wait_until_joined();
     while (!m_stopping) {
         auto const due = std::max(tables_confirmed_at(), m_joined_at) + max_silence;
@@ -147,11 +147,11 @@
             continue;
         }
         try {
-            m_is_table_question_open = m_has_read_tables;
+            m_is_table_poll_open = m_has_read_tables;
             auto result = m_has_read_tables
                               ? m_store.wait_for_newer_tables(m_tables_store_version, tables_poll_timeout)
                               : m_store.read_tables();
-            m_is_table_question_open = false;
+            m_is_table_poll_open = false;
             m_tables_confirmed_at = clock::now();
             record_store_availability(true, "tables", "");
             failures = 0;
@@ -162,12 +162,12 @@
                 boost::this_fiber::sleep_for(table_change_delay);
             }
         } catch (history_lost const& failure) {
-            m_is_table_question_open = false;
+            m_is_table_poll_open = false;
             log_line(log_level::info, "tables_history_lost").field("reason", failure.what()).write();
             m_has_read_tables = false;
             boost::this_fiber::sleep_for(jittered(history_lost_delay));
         } catch (std::exception const& failure) {
-            m_is_table_question_open = false;
+            m_is_table_poll_open = false;
             m_state.counters.add(counter::table_reads_failed);
             record_store_availability(false, "tables", failure.what());
             auto const delay = m_plan.watches_tables() ? failure_retry_delay : non_watcher_retry_delay;
@@ -221,7 +221,7 @@
 }
 
 void fleet_synchronizer::poll_targets() {
-    auto const first_list_wait = max_tables_silence + random_up_to(question_spread);
+    auto const first_list_wait = max_tables_silence + random_up_to(poll_spread);
     wait_until_joined();
     while (!m_stopping) {
         auto const rank = list_poll_schedule::poll_rank(
--- a/Libraries/Gateway/gateway/fleet_synchronizer.hpp
+++ b/Libraries/Gateway/gateway/fleet_synchronizer.hpp
@@ -114,7 +114,7 @@
     bool m_has_read_tables = false; ///< From the platform, since the start or the last `history_lost`.
     std::map<std::string, std::set<endpoint>> m_claiming_homes; ///< By pool, of the last refresh.
     bool m_is_store_available = true;
-    bool m_is_table_question_open = false; ///< The platform holds a question of this instance.
+    bool m_is_table_poll_open = false; ///< The platform holds a long poll of this instance.
     clock::time_point m_tables_confirmed_at{};
     clock::time_point m_joined_at{}; ///< The first attempt to join the fleet has ended.
     bool m_is_fetching_snapshot = false;
--- a/Libraries/Gateway/gateway/request_dispatcher.cpp
+++ b/Libraries/Gateway/gateway/request_dispatcher.cpp
@@ -99,8 +99,8 @@
     std::string last_target;
     std::string last_reason;
 
-    /// Stands for the route in the shares of `kind_shares`; the same on every instance and in every version.
-    [[nodiscard]] std::uint32_t kind() const {
+    /// Stands for the route in `route_shares`; the same on every instance and in every version.
+    [[nodiscard]] std::uint32_t route_hash() const {
         return static_cast<std::uint32_t>(XXH3_64bits(route->name.data(), route->name.size()));
     }
 };
@@ -234,7 +234,7 @@
         {.request_id = request.id,
          .pool = request.pool,
          .deadlines = {.priority = request.route->priority,
-                       .kind = request.kind(),
+                       .route = request.route_hash(),
                        .soft_start_deadline = request.target_latency_deadline - service_time,
                        .hard_start_deadline = request.deadline - service_time}},
         request.notifier);
@@ -289,7 +289,7 @@
         }
         if (choice->is_preferred || round == max_choice_rounds) {
             if (attempts->states.empty()) {
-                m_admission.record_admission(request.pool, request.kind(), now);
+                m_admission.record_admission(request.pool, request.route_hash(), now);
             }
             prepare_attempt(request, *attempts, *choice, purpose);
             m_thread.spawn(
@@ -399,7 +399,7 @@
 http_response request_dispatcher::run_attempts(request_state& request) {
     auto const attempts = std::make_shared<attempt_set>();
     auto const& route = *request.route;
-    m_admission.record_arrival(request.pool, request.kind(), request.received);
+    m_admission.record_arrival(request.pool, request.route_hash(), request.received);
     auto& budget = m_state.extra_attempts.budget_for(request.pool);
     if (!start_attempt(request, attempts, "first")) {
         return finish_not_run(request, "no place at a target in time");
--- a/Tests/Coordination/test_kind_shares.cpp
+++ b/Tests/Coordination/test_route_shares.cpp
@@ -13,12 +13,12 @@
 
 namespace {
 
-using time_point = kind_shares::time_point;
+using time_point = route_shares::time_point;
 using std::chrono::milliseconds;
 
-/// A kind of request as callers send it to one pool.
+/// A route as callers send it to one pool.
 struct load {
-    std::uint32_t kind;
+    std::uint32_t route;
     std::int64_t priority;
     double per_second;
     milliseconds target_latency;
@@ -31,13 +31,13 @@
     std::size_t slots; ///< Requests that the pool runs at once.
 };
 
-/// Work of a request, the same for every kind.
+/// Work of a request, the same for every route.
 constexpr auto work = 250ms;
 constexpr auto duration = 30s;
 /// Of the pool's requests after the first seconds, in which the counts are filled.
 constexpr auto measured_from = 5s;
 
-/// Three kinds at one pool: an urgent one, one that can wait long and one that can not.
+/// Three routes at one pool: an urgent one, one that can wait long and one that can not.
 overload const overloads[] = {
     {"slightly", {{1, 1, 120, 800ms, 2000ms}, {2, 2, 60, 1000ms, 5000ms}, {3, 2, 60, 500ms, 1200ms}}, 50},
     {"twice", {{1, 1, 220, 800ms, 2000ms}, {2, 2, 100, 1000ms, 5000ms}, {3, 2, 120, 500ms, 1200ms}}, 55},
@@ -73,13 +73,13 @@
         }
     }
 
-    [[nodiscard]] double served_share(std::uint32_t kind) const {
-        auto const& value = m_services.at(kind);
+    [[nodiscard]] double served_share(std::uint32_t route) const {
+        auto const& value = m_services.at(route);
         return value.served / value.arrived;
     }
     [[nodiscard]] double total_served_share() const {
         service total;
-        for (auto const& [kind, value] : m_services) {
+        for (auto const& [route, value] : m_services) {
             total.arrived += value.arrived;
             total.served += value.served;
         }
@@ -97,12 +97,12 @@
     void arrive(load const& source, time_point now) {
         schedule_arrival(source, now);
         admission_deadlines const deadlines{.priority = source.priority,
-                                            .kind = source.kind,
+                                            .route = source.route,
                                             .soft_start_deadline = now + source.target_latency - work,
                                             .hard_start_deadline = now + source.deadline - work};
-        m_queue.record_arrival(source.kind, now);
+        m_queue.record_arrival(source.route, now);
         if (now >= m_start + measured_from) {
-            m_services[source.kind].arrived += 1;
+            m_services[source.route].arrived += 1;
         }
         if (m_running < m_shape.slots) {
             start(source, now);
@@ -126,10 +126,10 @@
 
     void start(load const& source, time_point now) {
         ++m_running;
-        m_queue.record_admission(source.kind, now);
+        m_queue.record_admission(source.route, now);
         m_events.emplace(now + work, nullptr);
         if (now >= m_start + measured_from) {
-            m_services[source.kind].served += 1;
+            m_services[source.route].served += 1;
         }
     }
 
@@ -144,21 +144,21 @@
 
 } // namespace
 
-TEST_GROUP(kind_share_counts) {
-    kind_shares shares;
+TEST_GROUP(route_share_counts) {
+    route_shares shares;
     time_point now{100s};
 
-    void record(std::uint32_t kind, int arrived, int admitted) {
+    void record(std::uint32_t route, int arrived, int admitted) {
         for (int i = 0; i < arrived; ++i) {
-            shares.record_arrival(kind, now);
+            shares.record_arrival(route, now);
         }
         for (int i = 0; i < admitted; ++i) {
-            shares.record_admission(kind, now);
+            shares.record_admission(route, now);
         }
     }
 };
 
-TEST(kind_share_counts, a_kind_that_is_admitted_less_than_half_as_often_is_underserved) {
+TEST(route_share_counts, a_route_that_is_admitted_less_than_half_as_often_is_underserved) {
     record(1, 100, 80);
     record(2, 100, 20);
     CHECK_FALSE(shares.is_underserved(1, now));
@@ -167,14 +167,14 @@
     CHECK_FALSE(shares.is_underserved(2, now));
 }
 
-TEST(kind_share_counts, unknown_kinds_and_few_requests_say_nothing) {
+TEST(route_share_counts, unknown_routes_and_few_requests_say_nothing) {
     record(1, 100, 80);
     record(2, 2, 0);
     CHECK_FALSE(shares.is_underserved(2, now));
     CHECK_FALSE(shares.is_underserved(3, now));
 }
 
-TEST(kind_share_counts, an_overload_is_forgotten) {
+TEST(route_share_counts, an_overload_is_forgotten) {
     record(1, 100, 80);
     record(2, 100, 0);
     now += 30s;
@@ -185,26 +185,26 @@
 
 TEST_GROUP(overloaded_pools){};
 
-TEST(overloaded_pools, no_kind_is_served_less_than_half_as_often_as_all_requests) {
+TEST(overloaded_pools, no_route_is_served_less_than_half_as_often_as_all_requests) {
     constexpr double sampling_error = 0.05;
     for (auto const& shape : overloads) {
         played_overload const played(shape);
         for (auto const& each : shape.loads) {
-            CHECK_TEXT(played.served_share(each.kind) >= played.total_served_share() * 0.5 - sampling_error,
+            CHECK_TEXT(played.served_share(each.route) >= played.total_served_share() * 0.5 - sampling_error,
                        shape.name);
         }
     }
 }
 
-TEST(overloaded_pools, a_more_urgent_kind_is_served_no_less_than_a_less_urgent_one) {
+TEST(overloaded_pools, a_more_urgent_route_is_served_no_less_than_a_less_urgent_one) {
     constexpr double sampling_error = 0.05;
     for (auto const& shape : overloads) {
         played_overload const played(shape);
         for (auto const& urgent : shape.loads) {
             for (auto const& other : shape.loads) {
                 CHECK_TEXT(urgent.priority >= other.priority ||
-                               played.served_share(urgent.kind) >=
-                                   played.served_share(other.kind) - sampling_error,
+                               played.served_share(urgent.route) >=
+                                   played.served_share(other.route) - sampling_error,
                            shape.name);
             }
         }
