--- a/Tests/Fuzz/decoders.cpp
+++ b/Tests/Fuzz/decoders.cpp
@@ -2,6 +2,8 @@
 
 #include "base/errors.hpp"
 #include "gateway/fleet_messages.hpp"
+#include "gateway/object_collector.hpp"
+#include "gateway/snapshot_exchange.hpp"
 #include "platform/document_codec.hpp"
 #include "platform/store_responses.hpp"
 #include "platform/wire_format.hpp"
@@ -39,6 +41,15 @@
     return platform::wire_format().parse_address_query(bytes);
 }
 
+bool can_parse_snapshot_request(std::string_view bytes) {
+    try {
+        static_cast<void>(parse_snapshot_request(bytes));
+        return true;
+    } catch (invalid_input const&) {
+        return false;
+    }
+}
+
 constexpr std::array decoders{
     fuzzed_decoder{"manifest", can_decode<platform::decode_manifest>},
     fuzzed_decoder{"target_entry", can_decode<decode_target_entry>},
@@ -51,6 +62,8 @@
     fuzzed_decoder{"address_query", can_decode<decode_address_query>},
     fuzzed_decoder{"fleet_datagram", can_decode<decode_datagram>},
     fuzzed_decoder{"fleet_knowledge", can_decode<decode_snapshot>},
+    fuzzed_decoder{"snapshot_request", can_parse_snapshot_request},
+    fuzzed_decoder{"object_group", can_decode<decode_object_group>},
     fuzzed_decoder{"peer_batch", can_decode<decode<peer_batch>>},
     fuzzed_decoder{"gossip", can_decode<decode<gossip_message>>},
     fuzzed_decoder{"account_segment", can_decode<decode_segment>},
