Choice, Base: Compare the targets of a pool once, and drop a counter that nothing counted

A last reading of the change. keep_preferred computed the bests of the pool that choose had just computed, on the path of each attempt; it takes them now. The metric platform_calls was exported and always 0; it is removed. No behaviour changes.

--- a/Libraries/Base/base/metrics.hpp
+++ b/Libraries/Base/base/metrics.hpp
@@ -66,7 +66,6 @@
     load_update_bytes_other_zones,
     snapshot_bytes_own_zone,
     snapshot_bytes_other_zones,
-    platform_calls,
     count,
 };
 
--- a/Libraries/Coordination/coordination/target_selector.cpp
+++ b/Libraries/Coordination/coordination/target_selector.cpp
@@ -288,8 +288,8 @@
     return std::ranges::min_element(estimates, {}, &candidate_estimate::expected_ms)->expected_ms;
 }
 
-void target_selector::keep_preferred(std::vector<candidate_estimate>& estimates) const {
-    auto const bests = find_bests(estimates);
+void target_selector::keep_preferred(std::vector<candidate_estimate>& estimates,
+                                     pool_bests const& bests) const {
     auto const is_eligible_candidate = [&](auto const& each) { return is_eligible(each, bests); };
     if (std::ranges::any_of(estimates, is_eligible_candidate)) {
         // At a target with many slots, using the last ones slows down all of its requests, so such a target
@@ -314,7 +314,7 @@
     }
     auto const candidates = estimates.size();
     auto const bests = find_bests(estimates);
-    keep_preferred(estimates);
+    keep_preferred(estimates, bests);
     auto const least = least_expected_ms(estimates);
     std::erase_if(estimates, [&](auto const& each) {
         return each.expected_ms > least * (1.0 + m_policy.tie_tolerance);
@@ -342,7 +342,7 @@
     auto const is_fresh = [&](auto const& each) {
         return each.report_age_ms >= 0 && each.report_age_ms < fresh.count();
     };
-    keep_preferred(estimates);
+    keep_preferred(estimates, find_bests(estimates));
     std::ranges::shuffle(estimates, random);
     auto const& best = *std::ranges::min_element(estimates, {}, &candidate_estimate::expected_ms);
     // When the best target has a fresh report without a notable slowdown, probes cannot improve the choice.
--- a/Libraries/Coordination/coordination/target_selector.hpp
+++ b/Libraries/Coordination/coordination/target_selector.hpp
@@ -229,7 +229,7 @@
     [[nodiscard]] static pool_bests find_bests(std::span<candidate_estimate const> estimates);
     /// Removes the estimates of targets that are not chosen while others are preferred; `estimates` is not
     /// empty, before and after.
-    void keep_preferred(std::vector<candidate_estimate>& estimates) const;
+    void keep_preferred(std::vector<candidate_estimate>& estimates, pool_bests const& bests) const;
     [[nodiscard]] static double least_expected_ms(std::span<candidate_estimate const> estimates);
     [[nodiscard]] candidate_estimate estimate_candidate(target_state const& state, pool_state const& pool,
                                                         time_point now) const;
