Gateway: Say in the log what was not found and why a request was not taken

`no_route` names the host, the path and the tables that were in force, the counter `requests_without_route` shows which instances lag, and `request_refused` names the parser's error or the limit.

--- a/Libraries/Base/base/metrics.hpp
+++ b/Libraries/Base/base/metrics.hpp
@@ -66,6 +66,7 @@
     load_update_bytes_other_zones,
     snapshot_bytes_own_zone,
     snapshot_bytes_other_zones,
+    requests_without_route,
     count,
 };
 
--- a/Libraries/Gateway/gateway/caller_server.cpp
+++ b/Libraries/Gateway/gateway/caller_server.cpp
@@ -53,6 +53,12 @@
     }
 }
 
+/// Why the bytes of a connection were not taken as a request; the connection ends with this status.
+struct request_rejection {
+    unsigned status = 0;
+    std::string reason;
+};
+
 class caller_server::connection : public std::enable_shared_from_this<connection> {
 public:
     connection(caller_server& server, asio::ip::tcp::socket socket)
@@ -158,10 +164,10 @@
         parser.header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
         parser.body_limit(static_cast<std::uint64_t>(limits.max_body_bytes));
         parser.eager(true);
-        auto const error_status = read_request(parser, limits);
+        auto const rejection = read_request(parser, limits);
         m_in_request = false;
-        if (error_status != 0) {
-            send_error_and_close(error_status);
+        if (rejection) {
+            send_error_and_close(*rejection);
             return false;
         }
         if (m_is_disconnected && !parser.is_done()) {
@@ -177,8 +183,8 @@
         return start_request(entry, received);
     }
 
-    /// Reads one request. Returns 0, or the status of the error response that ends the connection.
-    unsigned read_request(request_parser& parser, caller_limits const& limits) {
+    /// Reads one request, as far as it arrives before the caller disconnects.
+    std::optional<request_rejection> read_request(request_parser& parser, caller_limits const& limits) {
         auto const deadline = std::chrono::steady_clock::now() + limits.header_timeout;
         bool continue_sent = false;
         while (!parser.is_done()) {
@@ -187,16 +193,18 @@
             m_unparsed.erase(0, consumed);
             wait_for_readable();
             if (parser.is_done()) {
-                return 0;
+                return std::nullopt;
             }
             if (error == http::error::header_limit) {
-                return 431;
+                return request_rejection{431, "the header exceeds " +
+                                                  std::to_string(limits.max_header_bytes) + " bytes"};
             }
             if (error == http::error::body_limit) {
-                return 413;
+                return request_rejection{413, "the body exceeds " + std::to_string(limits.max_body_bytes) +
+                                                  " bytes"};
             }
             if (error && error != http::error::need_more) {
-                return 400;
+                return request_rejection{400, "malformed: " + error.message()};
             }
             if (parser.is_header_done() && !continue_sent &&
                 beast::iequals(parser.get()[http::field::expect], "100-continue")) {
@@ -207,13 +215,14 @@
                 continue;
             }
             if (m_is_disconnected) {
-                return 0;
+                return std::nullopt;
             }
             if (!wait_for_change(deadline) && std::chrono::steady_clock::now() >= deadline) {
-                return 408;
+                return request_rejection{408, "incomplete after " +
+                                                  std::to_string(limits.header_timeout.count()) + " ms"};
             }
         }
-        return 0;
+        return std::nullopt;
     }
 
     void send_continue() {
@@ -301,16 +310,16 @@
         }
     }
 
-    void send_error_and_close(unsigned status) {
+    void send_error_and_close(request_rejection const& rejection) {
         wait_for_pending_requests();
         if (m_is_disconnected) {
             return;
         }
         log_line(log_level::info, "request_refused")
-            .field("status", static_cast<std::int64_t>(status))
-            .field("reason", "the request was malformed, too large or incomplete")
+            .field("status", static_cast<std::int64_t>(rejection.status))
+            .field("reason", rejection.reason)
             .write();
-        auto response = make_error_response(status, "request_not_read");
+        auto response = make_error_response(rejection.status, "request_not_read");
         response.keep_alive(false);
         boost::system::error_code error;
         m_stream.expires_after(write_timeout);
--- a/Libraries/Gateway/gateway/request_dispatcher.cpp
+++ b/Libraries/Gateway/gateway/request_dispatcher.cpp
@@ -29,6 +29,8 @@
 /// Retry-After of a request that was not run; randomized, so that refused callers do not all retry at once.
 constexpr double min_retry_after_s = 0.05;
 constexpr double retry_after_jitter_s = 0.15;
+/// Of a host or path that no route matches, in the log.
+constexpr std::size_t max_logged_characters = 128;
 /// Longest wait for load probes before a target is chosen: enough for a round trip between zones, a new
 /// connection and the target's processing.
 constexpr auto max_probe_wait = milliseconds(12);
@@ -185,6 +187,14 @@
     }
     request.route = request.routes->find(host, target.substr(0, target.find('?')));
     if (request.route == nullptr) {
+        m_state.counters.add(counter::requests_without_route);
+        log_line(log_level::info, "no_route")
+            .field("request", request.id)
+            .field("host", host.substr(0, max_logged_characters))
+            .field("path", target.substr(0, max_logged_characters))
+            .field("tables", request.routes->tables().version)
+            .field("routes", static_cast<std::uint64_t>(request.routes->tables().routes.size()))
+            .write();
         return finish_failed(request, 404, "no route");
     }
     auto const& route = *request.route;
