Transport: End a silent idle connection after two unanswered probes

One way to it: the connection on which an instance waits for newer tables goes silent (open connections may, while new ones work). Only keep-alive probes show that, and the number of probes was the system's default: nine, so ten seconds. The user timeout covers sent bytes only.

The test socket_options failed before: 1 + 9 x 1 s is not within the three seconds after which an instance counts as connected.

--- a/Libraries/Transport/transport/socket_options.cpp
+++ b/Libraries/Transport/transport/socket_options.cpp
@@ -21,6 +21,7 @@
     set_tcp_option(native, TCP_USER_TIMEOUT, static_cast<int>(tcp_user_timeout.count()));
     set_tcp_option(native, TCP_KEEPIDLE, static_cast<int>(keep_alive_interval.count()));
     set_tcp_option(native, TCP_KEEPINTVL, static_cast<int>(keep_alive_interval.count()));
+    set_tcp_option(native, TCP_KEEPCNT, keep_alive_probe_count);
 }
 
 } // namespace pomelospread
