Gateway: Skip empty lines before a request

A caller whose request began with an empty line, as some send one behind a body, got 400 "malformed: bad method" and a closed connection, though RFC 9112 section 2.2 has a server ignore at least one. Up to four are skipped now; a caller that sends nothing else still meets the idle timeout.

--- a/Libraries/Gateway/gateway/caller_server.cpp
+++ b/Libraries/Gateway/gateway/caller_server.cpp
@@ -37,6 +37,9 @@
 /// How long a closing connection continues to read, so that a reset does not discard its last response.
 constexpr auto linger_timeout = std::chrono::milliseconds(500);
 
+/// Empty lines before a request that are skipped (RFC 9112 section 2.2); more of them are malformed.
+constexpr int max_empty_lines = 4;
+
 http_response make_error_response(unsigned status, std::string_view error) {
     return make_response(status, "application/json", "{\"error\":\"" + std::string(error) + "\"}\n");
 }
@@ -137,7 +140,7 @@
     /// Waits for the first byte of the next request. Returns false when the connection is to be closed.
     bool wait_for_request() {
         auto idle_since = std::chrono::steady_clock::now();
-        while (m_unparsed.empty()) {
+        while (!has_request_bytes()) {
             if (m_is_disconnected || m_closing) {
                 return false;
             }
@@ -146,7 +149,7 @@
             }
             auto const deadline =
                 std::min(idle_since + m_server.m_callbacks.limits().idle_timeout, m_first_request_deadline);
-            if (!wait_for_change(deadline) && m_pending.empty() && m_unparsed.empty() &&
+            if (!wait_for_change(deadline) && m_pending.empty() && !has_request_bytes() &&
                 std::chrono::steady_clock::now() >= deadline) {
                 return false;
             }
@@ -154,11 +157,21 @@
         return !m_closing;
     }
 
+    /// Skips empty lines. Returns whether a byte of the next request has arrived.
+    bool has_request_bytes() {
+        while (m_skipped_empty_lines < max_empty_lines && m_unparsed.starts_with("\r\n")) {
+            m_unparsed.erase(0, 2);
+            ++m_skipped_empty_lines;
+        }
+        return !m_unparsed.empty() && (m_unparsed != "\r" || m_skipped_empty_lines == max_empty_lines);
+    }
+
     bool serve_next() {
         if (!wait_for_request()) {
             return false;
         }
         m_in_request = true;
+        m_skipped_empty_lines = 0;
         auto const limits = m_server.m_callbacks.limits();
         request_parser parser;
         parser.header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
@@ -353,6 +366,7 @@
     caller_server& m_server;
     beast::tcp_stream m_stream;
     std::string m_unparsed; ///< Bytes received and not parsed yet.
+    int m_skipped_empty_lines = 0;
     std::deque<std::shared_ptr<pending_request>> m_pending;
     boost::fibers::mutex m_mutex;
     boost::fibers::condition_variable m_changed;
--- a/Tests/Gateway/test_caller_server.cpp
+++ b/Tests/Gateway/test_caller_server.cpp
@@ -9,6 +9,7 @@
 
 #include <memory>
 #include <string>
+#include <thread>
 
 using namespace pomelospread;
 
@@ -34,11 +35,37 @@
     {"a header", start + "X: " + std::string(40000, 'a') + "\r\n\r\n", "HTTP/1.1 431"},
 };
 
+/// Requests that RFC 9112 has a server accept.
+struct proper_request {
+    char const* name;
+    std::string bytes;
+    char const* target;
+    char const* host;
+};
+
+std::string const fields = "Host: a.example\r\nConnection: close\r\n";
+
+proper_request const proper_requests[] = {
+    {"an empty line before the request (section 2.2)", "\r\nGET /a/b HTTP/1.1\r\n" + fields + "\r\n", "/a/b",
+     "a.example"},
+    {"two empty lines before the request", "\r\n\r\nGET /a/b HTTP/1.1\r\n" + fields + "\r\n", "/a/b",
+     "a.example"},
+    {"a query that contains a URL", "GET /a/?u=http://b.example/ HTTP/1.1\r\n" + fields + "\r\n",
+     "/a/?u=http://b.example/", "a.example"},
+    {"chunks with extensions and a trailer",
+     "PUT /a HTTP/1.1\r\n" + fields +
+         "Transfer-Encoding: chunked\r\n\r\n3;x=\"y;z\"\r\nabc\r\n0\r\nX: y\r\n\r\n",
+     "/a", "a.example"},
+};
+
 } // namespace
 
 TEST_GROUP(caller_server_requests) {
     io_thread thread{"test"};
-    int handled_count = 0; // The thread changes it only while the test waits for a response.
+    // The thread changes these only while the test waits for a response.
+    int handled_count = 0;
+    std::string handled_target;
+    std::string handled_host;
     std::unique_ptr<caller_server> server;
 
     void setup() override {
@@ -46,8 +73,10 @@
             server = std::make_unique<caller_server>(
                 thread, endpoint{"127.0.0.1", 0},
                 caller_server_callbacks{.handle =
-                                            [this](http_request&, disconnect_notifier&, steady_time) {
+                                            [this](http_request& request, disconnect_notifier&, steady_time) {
                                                 ++handled_count;
+                                                handled_target = std::string(request.target());
+                                                handled_host = std::string(request["Host"]);
                                                 return make_response(200, "text/plain", "done");
                                             },
                                         .may_run_concurrently = [](http_request const&) { return true; },
@@ -61,14 +90,18 @@
         thread.stop();
     }
 
-    /// The bytes that the server sends until it closes.
-    std::string response_to(std::string const& request) const {
+    /// The bytes that the server sends until it closes. The request is written in two parts.
+    std::string response_to(std::string const& request, std::size_t first_part = 0) const {
         asio::io_context io;
         asio::ip::tcp::socket socket(io);
         auto const address = server->local_address();
         socket.connect({asio::ip::make_address(address.address), address.port});
         boost::system::error_code error;
-        asio::write(socket, asio::buffer(request), error);
+        asio::write(socket, asio::buffer(request.substr(0, first_part)), error);
+        if (first_part > 0) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(1)); // The parts arrive by themselves.
+        }
+        asio::write(socket, asio::buffer(request.substr(first_part)), error);
         std::string response;
         asio::read(socket, asio::dynamic_buffer(response), error);
         return response;
@@ -88,3 +121,22 @@
     STRCMP_CONTAINS("HTTP/1.1 200", response.c_str());
     LONGS_EQUAL(1, handled_count);
 }
+
+TEST(caller_server_requests, proper_requests_are_not_turned_away) {
+    for (auto const& each : proper_requests) {
+        auto const response = response_to(each.bytes);
+        STRCMP_CONTAINS_TEXT("HTTP/1.1 200", response.c_str(), each.name);
+        STRCMP_EQUAL_TEXT(each.target, handled_target.c_str(), each.name);
+        STRCMP_EQUAL_TEXT(each.host, handled_host.c_str(), each.name);
+    }
+}
+
+TEST(caller_server_requests, proper_requests_are_not_turned_away_when_they_arrive_in_two_parts) {
+    for (auto const& each : proper_requests) {
+        for (std::size_t first_part = 1; first_part < each.bytes.size(); ++first_part) {
+            auto const response = response_to(each.bytes, first_part);
+            STRCMP_CONTAINS_TEXT("HTTP/1.1 200", response.c_str(), each.name);
+            STRCMP_EQUAL_TEXT(each.target, handled_target.c_str(), each.name);
+        }
+    }
+}
