Gateway: Route requests whose target is in absolute form

A request with a target in absolute form ("GET http://host/path") got 404: no prefix matches a target that does not begin with a slash, although RFC 9112 section 3.2.2 has a server accept it. The target becomes its origin form when the request has been read, its authority replaces Host, and targets see the path as they always do.

--- a/Libraries/Gateway/gateway/caller_server.cpp
+++ b/Libraries/Gateway/gateway/caller_server.cpp
@@ -40,6 +40,27 @@
 /// Empty lines before a request that are skipped (RFC 9112 section 2.2); more of them are malformed.
 constexpr int max_empty_lines = 4;
 
+/// Turns a target in absolute form (RFC 9112 section 3.2.2) into one in origin form; its authority replaces
+/// the Host field.
+void convert_to_origin_form(http_request& request) {
+    beast::string_view const target = request.target();
+    auto const scheme_end = target.find("://");
+    if (target.starts_with('/') || scheme_end == beast::string_view::npos ||
+        !(beast::iequals(target.substr(0, scheme_end), "http") ||
+          beast::iequals(target.substr(0, scheme_end), "https"))) {
+        return;
+    }
+    auto const authority_and_path = target.substr(scheme_end + 3);
+    auto const authority_end = std::min(authority_and_path.find_first_of("/?"), authority_and_path.size());
+    std::string const authority(authority_and_path.substr(0, authority_end));
+    std::string path(authority_and_path.substr(authority_end));
+    if (!path.starts_with('/')) {
+        path.insert(path.begin(), '/');
+    }
+    request.set(http::field::host, authority);
+    request.target(path);
+}
+
 http_response make_error_response(unsigned status, std::string_view error) {
     return make_response(status, "application/json", "{\"error\":\"" + std::string(error) + "\"}\n");
 }
@@ -191,6 +212,7 @@
         auto const received = std::chrono::steady_clock::now();
         auto entry = std::make_shared<pending_request>();
         entry->request = parser.release();
+        convert_to_origin_form(entry->request);
         entry->keep_alive = entry->request.keep_alive();
         entry->is_head = entry->request.method() == http::verb::head;
         return start_request(entry, received);
