Gateway: State and log the era of the platform's store

Operators could not see that the store had come back from an older copy: the header Store-Era of its responses was not read. Now every response of the store is observed, also one that refuses a call; `store_era_changed` (before, after, source) is logged, `tables_history_lost` and the status page show the era. Nothing is decided by it yet. The stand-in of the store can go back to a copy, in a new era.

--- a/Libraries/Coordination/coordination/platform_store.hpp
+++ b/Libraries/Coordination/coordination/platform_store.hpp
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <optional>
 
 namespace pomelospread {
@@ -25,6 +26,9 @@
 public:
     virtual ~platform_store() = default;
 
+    /// `observe` is called with the era that a response of any call states, before that call returns or
+    /// throws. It is not called for responses that state none.
+    virtual void set_era_observer(std::function<void(std::uint64_t)> observe) = 0;
     [[nodiscard]] virtual tables_snapshot read_tables() = 0;
     /// Waits up to `max_wait` for tables declared after `store_version`. Throws `history_lost` when the
     /// platform's store has dropped the changes since then.
--- a/Libraries/Gateway/gateway/fleet_synchronizer.cpp
+++ b/Libraries/Gateway/gateway/fleet_synchronizer.cpp
@@ -87,7 +87,9 @@
       m_homes(state.settings.homes),
       m_load_exchange(state, m_homes, [this](fleet_datagram const& message, endpoint const& to) {
           m_socket.send(message, to);
-      }) {}
+      }) {
+    m_store.set_era_observer([this](std::uint64_t era) { learn_store_era(era, "store"); });
+}
 
 fleet_synchronizer::~fleet_synchronizer() = default;
 
@@ -120,6 +122,18 @@
         .write();
 }
 
+void fleet_synchronizer::learn_store_era(std::uint64_t era, std::string_view source) {
+    if (era <= m_store_era) {
+        return;
+    }
+    log_line(log_level::info, "store_era_changed")
+        .field("before", m_store_era)
+        .field("after", era)
+        .field("source", source)
+        .write();
+    m_store_era = era;
+}
+
 // Routing tables
 
 fleet_synchronizer::clock::time_point fleet_synchronizer::tables_confirmed_at() const {
@@ -163,7 +177,10 @@
             }
         } catch (history_lost const& failure) {
             m_is_table_poll_open = false;
-            log_line(log_level::info, "tables_history_lost").field("reason", failure.what()).write();
+            log_line(log_level::info, "tables_history_lost")
+                .field("era", m_store_era)
+                .field("reason", failure.what())
+                .write();
             m_has_read_tables = false;
             boost::this_fiber::sleep_for(jittered(history_lost_delay));
         } catch (std::exception const& failure) {
@@ -653,6 +670,7 @@
                           {"targets", m_target_list.current().targets.size()},
                           {"targets_age_ms", age_ms(m_target_list.read_at(), clock::now())},
                           {"store_answers", m_is_store_available},
+                          {"store_era", m_store_era},
                           {"members", members}}
                .dump() +
            "\n";
--- a/Libraries/Gateway/gateway/fleet_synchronizer.hpp
+++ b/Libraries/Gateway/gateway/fleet_synchronizer.hpp
@@ -91,6 +91,8 @@
     [[nodiscard]] http_response handle_peer_request(http_request& request);
     [[nodiscard]] peer_snapshot make_snapshot(snapshot_request const& request) const;
     [[nodiscard]] std::vector<poll_candidate> live_members() const;
+    /// Records the era of the platform's store if it is newer than every era known before.
+    void learn_store_era(std::uint64_t era, std::string_view source);
     void record_store_availability(bool is_available, std::string_view call, std::string_view reason);
 
     io_thread& m_thread;
@@ -110,6 +112,7 @@
     fleet_object_store m_objects;
     home_directory m_homes;
     load_exchange m_load_exchange;
+    std::uint64_t m_store_era = 0; ///< The newest one known.
     std::uint64_t m_tables_store_version = 0;
     bool m_has_read_tables = false; ///< From the platform, since the start or the last `history_lost`.
     std::map<std::string, std::set<endpoint>> m_claiming_homes; ///< By pool, of the last refresh.
--- a/Libraries/Protocol/protocol/platform_channel.cpp
+++ b/Libraries/Protocol/protocol/platform_channel.cpp
@@ -9,8 +9,9 @@
 namespace http = boost::beast::http;
 
 platform_channel::platform_channel(boost::asio::io_context& io, endpoint address,
-                                   platform_channel_limits limits)
-    : m_address(std::move(address)), m_limits(limits),
+                                   platform_channel_limits limits,
+                                   std::function<void(http_response const&)> observe_response)
+    : m_address(std::move(address)), m_limits(limits), m_observe_response(std::move(observe_response)),
       m_connections(io, limits.max_idle_connections, limits.max_idle_time) {}
 
 http_response platform_channel::call(http::verb method, std::string const& target, std::string body,
@@ -31,6 +32,9 @@
         }
         auto response = connection->exchange(request, m_limits.max_response_bytes, deadline);
         m_connections.release(m_address, std::move(connection));
+        if (m_observe_response) {
+            m_observe_response(response);
+        }
         if (response.result_int() == 429 || response.result_int() == 503) {
             throw platform_unavailable("the platform refused the call, status " +
                                        std::to_string(response.result_int()));
--- a/Libraries/Protocol/protocol/platform_channel.hpp
+++ b/Libraries/Protocol/protocol/platform_channel.hpp
@@ -6,6 +6,7 @@
 #include "protocol/http_connection.hpp"
 
 #include <chrono>
+#include <functional>
 #include <string>
 
 namespace pomelospread {
@@ -20,7 +21,9 @@
 /// Belongs to one thread; calls suspend the calling fiber.
 class platform_channel {
 public:
-    platform_channel(boost::asio::io_context& io, endpoint address, platform_channel_limits limits);
+    /// `observe_response` is called with each complete response, also with one that refuses the call.
+    platform_channel(boost::asio::io_context& io, endpoint address, platform_channel_limits limits,
+                     std::function<void(http_response const&)> observe_response = {});
 
     /// Throws `platform_unavailable` when the call certainly had no effect: no connection, or status 429 or
     /// 503. Throws `platform_outcome_unknown` when no complete response arrived within `timeout`.
@@ -32,6 +35,7 @@
 private:
     endpoint m_address;
     platform_channel_limits m_limits;
+    std::function<void(http_response const&)> m_observe_response;
     connection_cache m_connections;
 };
 
--- a/Tests/Platform/test_store_responses.cpp
+++ b/Tests/Platform/test_store_responses.cpp
@@ -88,6 +88,17 @@
                  static_cast<void>(platform::decode_tables_response(response(row("config", "{}")))));
 }
 
+TEST(store_responses, a_response_without_a_readable_era_has_era_zero) {
+    std::array<std::pair<char const*, std::uint64_t>, 5> const cases{
+        {{"2", 2}, {"18446744073709551615", ~0ULL}, {"18446744073709551616", 0}, {"-1", 0}, {"2x", 0}}};
+    http_response response;
+    LONGS_EQUAL(0, platform::store_era(response));
+    for (auto const& [text, era] : cases) {
+        set_header_field(response, "Store-Era", text);
+        CHECK_EQUAL_TEXT(era, platform::store_era(response), text);
+    }
+}
+
 TEST(store_responses, a_truncated_page_has_the_key_of_the_next_page) {
     auto const rows = row("i-1", target_entry) + "," + row("i-2", target_entry);
     STRCMP_EQUAL("i-2",
--- a/Tests/Processes/platform_stand_in.py
+++ b/Tests/Processes/platform_stand_in.py
@@ -72,6 +72,9 @@
         self.feed_calls = 0
         self.total_calls = 0
         self.object_names = []  # Of the objects that were stored, in order.
+        self.era = None  # Stated in every response, if set.
+        self.holds_polls = False  # An outage leaves open feeds without a response.
+        self.polls_generation = 0  # Feeds that were opened in an earlier one are cut.
         super().__init__()
 
     def put(self, table, key, value):
@@ -112,10 +115,15 @@
             if path.endswith("rows-feed"):
                 self.feed_calls += 1
                 after = int(parameters["after"])
-                if after < self.oldest_feed_version:
+                if not self.oldest_feed_version <= after <= self.version:
                     return 410, {}
-                self.lock.wait_for(lambda: self.down or self.rows_of_table(parameters["table"], after),
+                era, generation = self.era, self.polls_generation
+                # A feed that is neither cut nor answered after a restore stays open until its time-out.
+                self.lock.wait_for(lambda: self.down and not self.holds_polls or self.polls_generation != generation or (
+                    self.era == era and self.rows_of_table(parameters["table"], after)),
                                    int(parameters["wait_ms"]) / 1000)
+                if self.polls_generation != generation:
+                    return None, {}
                 rows = self.rows_of_table(parameters["table"], after)
                 return (503, {}) if self.down else (200, {"rows": rows, "ver": self.version, "now_s": 1.0})
             if path.endswith("rows-get"):
@@ -127,11 +135,12 @@
         while message := read_http_message(stream):
             (method, target, _), _, body = message
             status, document = self.handle_request(method, target, body)
-            if self.dropped_response_path and self.dropped_response_path in target:
+            if status is None or (self.dropped_response_path and self.dropped_response_path in target):
                 return
             time.sleep(self.response_delay_s)
             text = json.dumps(document).encode()
-            connection.sendall(b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n" % (status, len(text)) + text)
+            era = f"Store-Era: {self.era}\r\n" if self.era is not None else ""
+            connection.sendall(f"HTTP/1.1 {status} X\r\n{era}Content-Length: {len(text)}\r\n\r\n".encode() + text)
 
     def drop_history(self):
         """Discards the history: feeds from an earlier version are answered with 410."""
@@ -144,6 +153,23 @@
             self.down = True
             self.lock.notify_all()
 
+    def end_outage(self):
+        with self.lock:
+            self.down = False
+
+    def take_copy(self):
+        with self.lock:
+            return dict(self.rows), self.version
+
+    def restore(self, copy, keeps_polls=False):
+        """Comes back from an older copy, in a new era."""
+        with self.lock:
+            self.rows, self.version = dict(copy[0]), copy[1]
+            self.era += 1
+            self.polls_generation += not keeps_polls
+            self.down = False
+            self.lock.notify_all()
+
 
 class TargetStandIn(TcpServer):
     """Executes requests. The last segment of the path selects the fault to inject, if faults are enabled."""
