Gateway: Read tables on from a position only within the store's era

In a drill the store came back from a copy of some seconds before and gave version numbers out again. An instance whose position was the number of a lost change never heard of the change that got the same number; where the counter stayed behind the position, each instance read the complete tables about each 0.8 s and got 410 in between; a lost edit whose version was declared again with other content stayed in force.

Cause: a version number of the store was taken for a total order and for the identity of its content. It is valid only within one era (header Store-Era). Change: `store_version {era, number}`. A position counts only in the era in which it was read; under another era, or after 410 in a new one, the complete tables are read at once and replace the position, which may go back. A page that came under another era is not applied. Confirmations between instances count only in the newest era known, and carry it, so that instances learn it from each other. Tables are the same when their version and digest agree; the same version with other content from a later era is applied, also from a peer. An older version is never applied (`tables_not_applied`). Without the header every era is 0 and nothing changes.

Tests: process test restored_store.

--- a/Libraries/Coordination/coordination/platform_store.hpp
+++ b/Libraries/Coordination/coordination/platform_store.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "coordination/platform.hpp"
+#include "coordination/store_version.hpp"
 #include "coordination/target_list_cache.hpp"
 #include "state/routing_tables.hpp"
 
@@ -13,10 +14,10 @@
 
 namespace pomelospread {
 
-/// The result of a read of the tables: their content, if it is new, and the store's version number at the
-/// time of the read, which is not the version of the tables.
+/// The result of a read of the tables: their content, if it is new, and the store's version at the time of
+/// the read, which is not the version of the tables.
 struct tables_snapshot {
-    std::uint64_t store_version = 0;
+    store_version position;
     std::optional<routing_tables> content; ///< Empty when no tables, or no newer ones, were declared.
 };
 
@@ -30,9 +31,10 @@
     /// throws. It is not called for responses that state none.
     virtual void set_era_observer(std::function<void(std::uint64_t)> observe) = 0;
     [[nodiscard]] virtual tables_snapshot read_tables() = 0;
-    /// Waits up to `max_wait` for tables declared after `store_version`. Throws `history_lost` when the
-    /// platform's store has dropped the changes since then.
-    [[nodiscard]] virtual tables_snapshot wait_for_newer_tables(std::uint64_t store_version,
+    /// Waits up to `max_wait` for tables declared after `position`. Throws `history_lost` when the platform's
+    /// store has dropped the changes since then or does not have that version. A result of another era than
+    /// the position's does not continue from it.
+    [[nodiscard]] virtual tables_snapshot wait_for_newer_tables(store_version position,
                                                                 std::chrono::milliseconds max_wait) = 0;
     /// Omits malformed entries and logs each of them.
     [[nodiscard]] virtual target_list_snapshot read_targets() = 0;
--- a/Libraries/Coordination/coordination/store_version.hpp
+++ b/Libraries/Coordination/coordination/store_version.hpp
@@ -6,8 +6,9 @@
 
 namespace pomelospread {
 
-/// The store's version numbers identify its content only within one era: a store that comes back from an older
-/// copy begins a new era, in which it assigns numbers again. Positions are ordered by era, then by number.
+/// The store's version numbers identify its content only within one era: a store that comes back from an
+/// older copy begins a new era, in which it assigns numbers again. Positions are ordered by era, then by
+/// number.
 struct store_version {
     std::uint64_t era = 0; ///< 0: the platform states none.
     std::uint64_t number = 0;
--- a/Libraries/Gateway/gateway/fleet_messages.cpp
+++ b/Libraries/Gateway/gateway/fleet_messages.cpp
@@ -4,6 +4,7 @@
 #include "protocol/cereal_codec.hpp"
 
 #include <cereal/types/chrono.hpp>
+#include <xxhash.h>
 
 namespace pomelospread {
 
@@ -25,9 +26,14 @@
             value.report_age_ms, value.failures);
 }
 
+template<class Archive>
+void serialize(Archive& archive, tables_identity& value) {
+    archive(value.version, value.era, value.digest);
+}
+
 template<class Archive>
 void serialize(Archive& archive, tables_state& value) {
-    archive(value.version, value.confirmed_age_ms);
+    archive(value.tables, value.store_era, value.confirmed_age_ms);
 }
 
 template<class Archive>
@@ -82,8 +88,13 @@
 
 template<class Archive>
 void serialize(Archive& archive, peer_snapshot& value) {
-    archive(value.current_tables, value.target_list_version, value.target_list_age_ms, value.targets,
-            value.members);
+    archive(value.current_tables, value.tables_era, value.target_list_version, value.target_list_age_ms,
+            value.targets, value.members);
+}
+
+std::uint64_t tables_digest(routing_tables const& tables) {
+    auto const bytes = detail::encode_message(tables);
+    return XXH3_64bits(bytes.data(), bytes.size());
 }
 
 std::string encode_datagram(fleet_datagram const& message) {
--- a/Libraries/Gateway/gateway/fleet_messages.hpp
+++ b/Libraries/Gateway/gateway/fleet_messages.hpp
@@ -35,10 +35,27 @@
     std::uint8_t failures = 0;          ///< The sender's requests that failed there since its last update.
 };
 
-/// The version of the sender's routing tables, and how long ago it knew that the platform had no newer one.
+/// Which routing tables an instance has. The operator's versions rise, but after the platform's store lost an
+/// edit, another one may have the same version in a later era.
+struct tables_identity {
+    std::uint64_t version = 0; ///< The operator's; 0: none.
+    std::uint64_t era = 0;     ///< The newest era in which the platform's store held this content.
+    std::uint64_t digest = 0;  ///< See `tables_digest`.
+
+    [[nodiscard]] bool has_same_content(tables_identity const& other) const noexcept {
+        return version == other.version && digest == other.digest;
+    }
+    /// Whether these tables are to be applied where `other` are in force. A version never decreases.
+    [[nodiscard]] bool supersedes(tables_identity const& other) const noexcept {
+        return version != other.version ? version > other.version : digest != other.digest && era > other.era;
+    }
+};
+
+/// The sender's routing tables, and how long ago it knew that the platform had no newer ones.
 struct tables_state {
-    std::uint64_t version = 0; ///< 0: the sender has none.
-    std::uint32_t confirmed_age_ms = 0;
+    tables_identity tables;
+    std::uint64_t store_era = 0;        ///< The newest era of the platform's store that the sender knows.
+    std::uint32_t confirmed_age_ms = 0; ///< Confirmations of earlier eras do not count.
 };
 
 /// Why a datagram is sent. Relays forward announcements and list updates within their zone.
@@ -67,12 +84,16 @@
 /// members.
 struct peer_snapshot {
     routing_tables current_tables; ///< Version 0: the sender has none.
+    std::uint64_t tables_era = 0;  ///< `tables_identity::era`.
     std::uint64_t target_list_version = 0;
     std::uint32_t target_list_age_ms = 0;
     std::vector<listed_target> targets;
     std::vector<instance_entry> members;
 };
 
+/// Hash of every field; equal tables have equal digests.
+[[nodiscard]] std::uint64_t tables_digest(routing_tables const& tables);
+
 /// The `decode_` functions throw `malformed_message` when the bytes are not exactly one message.
 [[nodiscard]] std::string encode_datagram(fleet_datagram const& message);
 [[nodiscard]] fleet_datagram decode_datagram(std::string_view bytes);
--- a/Libraries/Gateway/gateway/fleet_synchronizer.cpp
+++ b/Libraries/Gateway/gateway/fleet_synchronizer.cpp
@@ -132,16 +132,21 @@
         .field("source", source)
         .write();
     m_store_era = era;
+    m_store_era_learned_at = clock::now();
+    m_tables_confirmed_at = {};
 }
 
 // Routing tables
 
 fleet_synchronizer::clock::time_point fleet_synchronizer::tables_confirmed_at() const {
-    return m_is_table_poll_open ? clock::now() : m_tables_confirmed_at;
+    bool const is_confirmed_now = m_is_table_poll_open && m_tables_position->era == m_store_era;
+    return is_confirmed_now ? clock::now() : m_tables_confirmed_at;
 }
 
 tables_state fleet_synchronizer::current_tables_state() const {
-    return {.version = tables_version(), .confirmed_age_ms = age_ms(tables_confirmed_at(), clock::now())};
+    return {.tables = m_tables,
+            .store_era = m_store_era,
+            .confirmed_age_ms = age_ms(tables_confirmed_at(), clock::now())};
 }
 
 void fleet_synchronizer::wait_until_joined() {
@@ -155,24 +160,34 @@
     auto const max_silence = max_tables_silence + random_up_to(poll_spread);
     wait_until_joined();
     while (!m_stopping) {
-        auto const due = std::max(tables_confirmed_at(), m_joined_at) + max_silence;
+        auto const due = std::max({tables_confirmed_at(), m_joined_at, m_store_era_learned_at}) + max_silence;
         if (auto const now = clock::now(); !m_plan.watches_tables() && now < due) {
             boost::this_fiber::sleep_until(std::min(due, now + max_tables_silence / 4));
             continue;
         }
+        if (is_tables_position_outdated()) {
+            m_tables_position.reset();
+        }
         try {
-            m_is_table_poll_open = m_has_read_tables;
-            auto result = m_has_read_tables
-                              ? m_store.wait_for_newer_tables(m_tables_store_version, tables_poll_timeout)
+            m_is_table_poll_open = m_tables_position.has_value();
+            auto result = m_tables_position
+                              ? m_store.wait_for_newer_tables(*m_tables_position, tables_poll_timeout)
                               : m_store.read_tables();
             m_is_table_poll_open = false;
-            m_tables_confirmed_at = clock::now();
+            if (result.position.era < m_store_era) {
+                throw platform_unavailable("the response is of the store's era " +
+                                           std::to_string(result.position.era) + ", which has ended");
+            }
             record_store_availability(true, "tables", "");
             failures = 0;
-            m_tables_store_version = std::max(m_tables_store_version, result.store_version);
-            m_has_read_tables = true;
+            if (is_tables_position_outdated()) {
+                continue; // A page of another era does not continue from the position.
+            }
+            m_tables_confirmed_at = clock::now();
+            m_tables_position =
+                m_tables_position ? std::max(*m_tables_position, result.position) : result.position;
             if (result.content) {
-                apply_tables(std::move(*result.content), "store");
+                apply_tables(std::move(*result.content), result.position.era, "store");
                 boost::this_fiber::sleep_for(table_change_delay);
             }
         } catch (history_lost const& failure) {
@@ -181,10 +196,16 @@
                 .field("era", m_store_era)
                 .field("reason", failure.what())
                 .write();
-            m_has_read_tables = false;
+            if (is_tables_position_outdated()) {
+                continue;
+            }
+            m_tables_position.reset();
             boost::this_fiber::sleep_for(jittered(history_lost_delay));
         } catch (std::exception const& failure) {
             m_is_table_poll_open = false;
+            if (is_tables_position_outdated()) {
+                continue;
+            }
             m_state.counters.add(counter::table_reads_failed);
             record_store_availability(false, "tables", failure.what());
             auto const delay = m_plan.watches_tables() ? failure_retry_delay : non_watcher_retry_delay;
@@ -193,28 +214,44 @@
     }
 }
 
+bool fleet_synchronizer::is_tables_position_outdated() const {
+    return m_tables_position && m_tables_position->era < m_store_era;
+}
+
 void fleet_synchronizer::handle_tables_state(tables_state const& state, endpoint const& sender,
                                              clock::time_point sent_at) {
-    if (state.version > tables_version()) {
+    learn_store_era(state.store_era, "peer");
+    if (state.tables.supersedes(m_tables)) {
         schedule_snapshot_fetch(sender,
-                                [this, version = state.version] { return tables_version() < version; });
-    } else if (state.version == tables_version()) {
-        m_tables_confirmed_at =
-            std::max(m_tables_confirmed_at, sent_at - milliseconds(state.confirmed_age_ms));
+                                [this, announced = state.tables] { return announced.supersedes(m_tables); });
+    } else if (state.tables.has_same_content(m_tables)) {
+        m_tables.era = std::max(m_tables.era, state.tables.era);
+        if (state.store_era == m_store_era) {
+            m_tables_confirmed_at =
+                std::max(m_tables_confirmed_at, sent_at - milliseconds(state.confirmed_age_ms));
+        }
     }
 }
 
-void fleet_synchronizer::apply_tables(routing_tables content, std::string_view source) {
-    auto const current_version = m_state.routes.load()->tables().version;
-    if (content.version <= current_version) {
+void fleet_synchronizer::apply_tables(routing_tables content, std::uint64_t era, std::string_view source) {
+    tables_identity const offered{.version = content.version, .era = era, .digest = tables_digest(content)};
+    if (offered.has_same_content(m_tables)) {
+        m_tables.era = std::max(m_tables.era, era);
         return;
     }
-    log_line(log_level::info, "tables_applied")
-        .field("version", content.version)
-        .field("before", current_version)
+    bool const is_newer = offered.supersedes(m_tables);
+    log_line(log_level::info, is_newer ? "tables_applied" : "tables_not_applied")
+        .field("version", offered.version)
+        .field("era", offered.era)
+        .field("before", m_tables.version)
+        .field("era_before", m_tables.era)
         .field("routes", static_cast<std::uint64_t>(content.routes.size()))
         .field("source", source)
         .write();
+    if (!is_newer) {
+        return;
+    }
+    m_tables = offered;
     m_state.counters.add(counter::tables_applied);
     m_state.routes.store(std::make_shared<route_index const>(std::move(content)));
     if (m_plan.is_relay()) {
@@ -552,7 +589,7 @@
     bool succeeded = false;
     try {
         auto const started = clock::now();
-        auto snapshot = m_snapshots.fetch(peer, {.tables_version = tables_version(),
+        auto snapshot = m_snapshots.fetch(peer, {.tables = m_tables,
                                                  .target_list_version = m_target_list.current().version,
                                                  .with_members = with_members,
                                                  .zone = m_state.settings.zone});
@@ -560,7 +597,8 @@
             m_membership.merge_platform_list(snapshot.members, clock::now());
         }
         if (snapshot.current_tables.version > 0) {
-            apply_tables(std::move(snapshot.current_tables), "peer");
+            learn_store_era(snapshot.tables_era, "peer");
+            apply_tables(std::move(snapshot.current_tables), snapshot.tables_era, "peer");
         }
         auto const previous = m_target_list.current();
         if (snapshot.target_list_version > 0 &&
@@ -600,8 +638,9 @@
 
 peer_snapshot fleet_synchronizer::make_snapshot(snapshot_request const& request) const {
     peer_snapshot snapshot;
-    if (tables_version() > request.tables_version) {
+    if (m_tables.supersedes(request.tables)) {
         snapshot.current_tables = m_state.routes.load()->tables();
+        snapshot.tables_era = m_tables.era;
     }
     if (m_target_list.current().version > request.target_list_version) {
         snapshot.target_list_version = m_target_list.current().version;
--- a/Libraries/Gateway/gateway/fleet_synchronizer.hpp
+++ b/Libraries/Gateway/gateway/fleet_synchronizer.hpp
@@ -77,7 +77,8 @@
     void schedule_snapshot_fetch(endpoint const& sender, std::function<bool()> is_behind);
     /// Fetches a peer's snapshot and applies what is newer than here. Returns whether the fetch succeeded.
     bool fetch_snapshot(endpoint const& peer, bool with_members);
-    void apply_tables(routing_tables content, std::string_view source);
+    /// Applies tables that the platform's store held in `era`, unless those in force are as new.
+    void apply_tables(routing_tables content, std::uint64_t era, std::string_view source);
     void apply_targets(std::string_view source);
     void schedule_apply_targets();
     void broadcast_target_list_updates(std::vector<target_list_update> updates,
@@ -87,7 +88,9 @@
     [[nodiscard]] tables_state current_tables_state() const;
     /// When this instance last knew that the platform had no newer tables.
     [[nodiscard]] clock::time_point tables_confirmed_at() const;
-    [[nodiscard]] std::uint64_t tables_version() const { return m_state.routes.load()->tables().version; }
+    /// Whether the position belongs to an era that has ended, so that nothing can be read on from it.
+    [[nodiscard]] bool is_tables_position_outdated() const;
+    [[nodiscard]] std::uint64_t tables_version() const { return m_tables.version; }
     [[nodiscard]] http_response handle_peer_request(http_request& request);
     [[nodiscard]] peer_snapshot make_snapshot(snapshot_request const& request) const;
     [[nodiscard]] std::vector<poll_candidate> live_members() const;
@@ -113,12 +116,14 @@
     home_directory m_homes;
     load_exchange m_load_exchange;
     std::uint64_t m_store_era = 0; ///< The newest one known.
-    std::uint64_t m_tables_store_version = 0;
-    bool m_has_read_tables = false; ///< From the platform, since the start or the last `history_lost`.
+    tables_identity m_tables;      ///< Those in force.
+    /// Where the tables are to be read on; nothing before the first read and when that history is lost.
+    std::optional<store_version> m_tables_position;
     std::map<std::string, std::set<endpoint>> m_claiming_homes; ///< By pool, of the last refresh.
     bool m_is_store_available = true;
-    bool m_is_table_poll_open = false; ///< The platform holds a long poll of this instance.
-    clock::time_point m_tables_confirmed_at{};
+    bool m_is_table_poll_open = false;         ///< The platform holds a long poll of this instance.
+    clock::time_point m_tables_confirmed_at{}; ///< In the newest era known.
+    clock::time_point m_store_era_learned_at{};
     clock::time_point m_joined_at{}; ///< The first attempt to join the fleet has ended.
     bool m_is_fetching_snapshot = false;
     bool m_is_fetch_scheduled = false;
--- a/Libraries/Gateway/gateway/snapshot_exchange.cpp
+++ b/Libraries/Gateway/gateway/snapshot_exchange.cpp
@@ -11,15 +11,15 @@
 
 constexpr std::size_t max_snapshot_bytes = std::size_t{16} * 1024 * 1024;
 
-/// A version in the query; an absent one is 0.
-std::uint64_t version_parameter(std::string_view request_target, std::string_view name) {
+/// A number in the query; an absent one is 0.
+std::uint64_t number_parameter(std::string_view request_target, std::string_view name) {
     auto const text = query_parameter(request_target, name);
     std::uint64_t value = 0;
     auto const end = text.data() + text.size();
     if (auto const parsed = std::from_chars(text.data(), end, value);
         !text.empty() && (parsed.ec != std::errc() || parsed.ptr != end)) {
         throw invalid_input({{.field = std::string(name),
-                              .problem = "\"" + text + "\" is not a version",
+                              .problem = "\"" + text + "\" is not a number of 64 bits",
                               .allowed = "0 to 18446744073709551615"}});
     }
     return value;
@@ -28,14 +28,18 @@
 } // namespace
 
 std::string to_request_target(snapshot_request const& request) {
-    return std::string(snapshot_exchange::path) + "?tables=" + std::to_string(request.tables_version) +
+    return std::string(snapshot_exchange::path) + "?tables=" + std::to_string(request.tables.version) +
+           "&tables_era=" + std::to_string(request.tables.era) +
+           "&tables_digest=" + std::to_string(request.tables.digest) +
            "&targets=" + std::to_string(request.target_list_version) +
            "&members=" + (request.with_members ? "1" : "0") + "&zone=" + request.zone;
 }
 
 snapshot_request parse_snapshot_request(std::string_view request_target) {
-    return {.tables_version = version_parameter(request_target, "tables"),
-            .target_list_version = version_parameter(request_target, "targets"),
+    return {.tables = {.version = number_parameter(request_target, "tables"),
+                       .era = number_parameter(request_target, "tables_era"),
+                       .digest = number_parameter(request_target, "tables_digest")},
+            .target_list_version = number_parameter(request_target, "targets"),
             .with_members = query_parameter(request_target, "members") != "0",
             .zone = query_parameter(request_target, "zone")};
 }
--- a/Tests/Platform/test_store_responses.cpp
+++ b/Tests/Platform/test_store_responses.cpp
@@ -82,7 +82,7 @@
 TEST(store_responses, tables_are_decoded_from_the_row_with_the_key_config) {
     auto const snapshot =
         platform::decode_tables_response(response(row("other", "{}") + "," + row("config", manifest)));
-    LONGS_EQUAL(7, snapshot.store_version);
+    LONGS_EQUAL(7, snapshot.position.number);
     LONGS_EQUAL(3, snapshot.content->version);
     CHECK_THROWS(malformed_message,
                  static_cast<void>(platform::decode_tables_response(response(row("config", "{}")))));
--- a/Tests/Processes/platform_stand_in.py
+++ b/Tests/Processes/platform_stand_in.py
@@ -71,6 +71,7 @@
         self.oldest_feed_version = 0  # Feeds that start before this version are answered with 410.
         self.feed_calls = 0
         self.total_calls = 0
+        self.tables_reads = 0  # Of the complete tables.
         self.object_names = []  # Of the objects that were stored, in order.
         self.era = None  # Stated in every response, if set.
         self.holds_polls = False  # An outage leaves open feeds without a response.
@@ -127,6 +128,7 @@
                 rows = self.rows_of_table(parameters["table"], after)
                 return (503, {}) if self.down else (200, {"rows": rows, "ver": self.version, "now_s": 1.0})
             if path.endswith("rows-get"):
+                self.tables_reads += parameters["table"] == "op"
                 return 200, {"rows": self.rows_of_table(parameters["table"]), "truncated": False, "ver": self.version,
                              "now_s": 1.0} | self.field_overrides
             return 200, {}
@@ -171,6 +173,32 @@
             self.lock.notify_all()
 
 
+class StorePath(TcpServer):
+    """The path of one instance to the store, which can be cut."""
+
+    def __init__(self, store):
+        self.store = store
+        self.is_cut = False
+        self.connections = []
+        super().__init__()
+
+    def serve(self, connection, stream):
+        self.connections.append(connection)
+        if not self.is_cut:
+            self.store.serve(connection, stream)
+
+    def cut(self):
+        self.is_cut = True
+        for connection in self.connections:
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass  # It has ended.
+
+    def heal(self):
+        self.is_cut = False
+
+
 class TargetStandIn(TcpServer):
     """Executes requests. The last segment of the path selects the fault to inject, if faults are enabled."""
 
--- a/Tests/Processes/test_restored_store.py
+++ b/Tests/Processes/test_restored_store.py
@@ -12,7 +12,7 @@
 import fleet as fleets  # noqa: E402
 import test_log_events  # noqa: E402
 from platform_stand_in import (  # noqa: E402
-    ForwardingInstance, PlatformStore, TargetStandIn, make_manifest, make_route, make_target_entry)
+    ForwardingInstance, PlatformStore, StorePath, TargetStandIn, make_manifest, make_route, make_target_entry)
 
 LISTENERS = ("callers", "readiness", "addresses", "peers", "metrics")
 CHANGE_BOUND_S = 2  # Within which a change that the store accepted is in force everywhere.
@@ -26,20 +26,24 @@
         self.store = PlatformStore()
         self.store.era = 1
         self.addCleanup(self.store.close)
-        self.put_manifest(7, "first")
+        self.version = 5
+        self.put_manifest("first")
         self.target = TargetStandIn("i-0", faults_enabled=False)
         self.store.put("servers", "i-0", make_target_entry(self.target, "s"))
         self.ports = {name: fleets.free_port() for name in LISTENERS}
         self.instances = []
-        self.start_instances(2)
-
-    def start_instances(self, count):
-        for _ in range(count):
-            instance = ForwardingInstance(f"127.0.30.{len(self.instances) + 1}", self.ports, self.store, self.folder,
-                                          seeds="127.0.30.1:1")
-            self.addCleanup(instance.kill)
-            self.instances.append(instance)
+        self.paths = [StorePath(self.store) for _ in range(2)]
+        for number in range(len(self.paths)):
+            self.instances.append(self.start_instance(number))
         self.wait_until(lambda: all(instance.is_ready() for instance in self.instances), 15)
+        # Until both have opened a feed.
+        self.wait_until(lambda: self.store.feed_calls >= 2, 4)
+
+    def start_instance(self, number):
+        instance = ForwardingInstance(f"127.0.30.{number + 1}", self.ports, self.paths[number], self.folder,
+                                      seeds="127.0.30.1:1,127.0.30.2:1")
+        self.addCleanup(instance.kill)
+        return instance
 
     def tearDown(self):
         for instance in self.instances:
@@ -55,8 +59,10 @@
     def status(self, instance):
         return json.loads(instance.exchange("metrics", b"GET /status HTTP/1.1\r\nHost: x\r\n\r\n")[2])
 
-    def put_manifest(self, version, *names):
-        self.store.put("op", "config", make_manifest(version, [make_route(name, "safe", "s") for name in names], ["s"]))
+    def put_manifest(self, name, version=None):
+        """Declares one route, under a newer version than the last."""
+        self.version = version or self.version + 2
+        self.store.put("op", "config", make_manifest(self.version, [make_route(name, "safe", "s")], ["s"]))
 
     def is_served_everywhere(self, name):
         return all(instance.send_request(f"/{name}/plain", f"q{time.monotonic_ns()}")[0] == 200
@@ -65,11 +71,68 @@
     def logged(self, event):
         return sum(instance.log_path.read_text().count(f"event={event} ") for instance in self.instances)
 
+    def lose_a_change(self, name, changes=1):
+        """Returns the copy that lacks it; it is in force everywhere."""
+        copy = self.store.take_copy()
+        for _ in range(changes):
+            self.put_manifest(name)
+        self.wait_until(lambda: self.is_served_everywhere(name))
+        time.sleep(0.4)  # Until the next feeds are open, from the version of the change.
+        return copy
+
+    def test_change_with_the_store_version_of_a_lost_one_takes_effect(self):
+        # The version that the feeds continue from is given out again by the first write or by the second.
+        for rewrites in (0, 1):
+            with self.subTest(rewrites=rewrites):
+                self.store.restore(self.lose_a_change(f"lost{rewrites}"))
+                for _ in range(rewrites):
+                    self.put_manifest(f"lost{rewrites}", version=self.version)
+                self.put_manifest(f"again{rewrites}")
+                self.wait_until(lambda: self.is_served_everywhere(f"again{rewrites}"))
+
+    def test_store_version_behind_the_known_one_costs_few_calls(self):
+        self.store.restore(self.lose_a_change("lost", changes=5))
+        before, reads_before = self.store.total_calls, self.store.tables_reads
+        time.sleep(4)
+        # One instance reads the list each 0.8 s; each reads the tables once and opens a feed.
+        self.assertLessEqual(self.store.tables_reads - reads_before, 4)
+        self.assertLessEqual(self.store.total_calls - before, 14)
+        self.assertTrue(self.is_served_everywhere("lost"))
+        self.put_manifest("again")
+        self.wait_until(lambda: self.is_served_everywhere("again"))
+
+    def test_other_content_under_a_lost_version_takes_effect(self):
+        for is_cut in (False, True):
+            with self.subTest(is_cut=is_cut):
+                copy = self.lose_a_change(f"lost{is_cut}")
+                if is_cut:
+                    self.paths[1].cut()
+                self.store.restore(copy)
+                time.sleep(0.5)
+                self.assertTrue(self.is_served_everywhere(f"lost{is_cut}"))
+                self.put_manifest(f"other{is_cut}", version=self.version)
+                self.wait_until(lambda: self.is_served_everywhere(f"other{is_cut}"))
+                self.assertEqual(self.instances[1].send_request(f"/lost{is_cut}/plain", "l")[0], 404)
+
+    def test_change_takes_effect_after_a_restart_and_two_restores_in_a_row(self):
+        self.store.restore(self.lose_a_change("lost"))
+        self.instances[1].kill()
+        self.instances[1] = self.start_instance(1)
+        copy = self.store.take_copy()
+        self.put_manifest("lost", version=self.version)
+        self.put_manifest("more")
+        self.store.restore(copy)
+        self.put_manifest("more", version=self.version)
+        self.instances[1].wait_until_ready()
+        self.wait_until(lambda: self.is_served_everywhere("more"))
+        self.put_manifest("last")
+        self.wait_until(lambda: self.is_served_everywhere("last"))
+
     def test_the_era_is_in_the_status_and_the_log(self):
         copy = self.store.take_copy()
         self.store.restore(copy)
-        self.wait_until(lambda: any(self.status(instance)["store_era"] == 2 for instance in self.instances))
-        self.wait_until(lambda: self.logged("store_era_changed") >= 3)
+        self.wait_until(lambda: all(self.status(instance)["store_era"] == 2 for instance in self.instances))
+        self.assertEqual(self.logged("store_era_changed"), 4)
 
 
 if __name__ == "__main__":
