Gateway: End a wait for tables in an era of the store that has ended

An instance whose long poll stayed open while the store came back from an older copy was not told of any change until the poll's time-out of 20 s: the answer was to be one of a history that had ended. A failed call of that time delayed the next one by up to 1.4 s more.

Change: as soon as the instance learns of a newer era, by any answer of the store or by a peer, the poll's connection is closed, a pause after a failure ends, and the complete tables are read. `call_cancellation` ends a call of the platform channel from another fiber of its thread.

Test: restored_store.test_feed_of_an_older_era_that_stays_open_hides_no_change: the feeds stay open over an outage of 2 s and are never answered.

--- a/Libraries/Coordination/coordination/platform_store.hpp
+++ b/Libraries/Coordination/coordination/platform_store.hpp
@@ -36,6 +36,8 @@
     /// the position's does not continue from it.
     [[nodiscard]] virtual tables_snapshot wait_for_newer_tables(store_version position,
                                                                 std::chrono::milliseconds max_wait) = 0;
+    /// Makes a `wait_for_newer_tables` in progress throw, in whose era nothing will be declared any more.
+    virtual void cancel_wait_for_newer_tables() = 0;
     /// Omits malformed entries and logs each of them.
     [[nodiscard]] virtual target_list_snapshot read_targets() = 0;
     [[nodiscard]] virtual instance_registry& instances() = 0;
--- a/Libraries/Gateway/gateway/fleet_synchronizer.cpp
+++ b/Libraries/Gateway/gateway/fleet_synchronizer.cpp
@@ -134,6 +134,15 @@
     m_store_era = era;
     m_store_era_learned_at = clock::now();
     m_tables_confirmed_at = {};
+    if (m_is_table_poll_open) {
+        m_store.cancel_wait_for_newer_tables();
+    }
+    m_store_era_learned.notify_all();
+}
+
+void fleet_synchronizer::sleep_until_newer_era(milliseconds duration) {
+    std::unique_lock lock(m_store_era_mutex);
+    m_store_era_learned.wait_for(lock, duration, [this, era = m_store_era] { return m_store_era != era; });
 }
 
 // Routing tables
@@ -200,7 +209,7 @@
                 continue;
             }
             m_tables_position.reset();
-            boost::this_fiber::sleep_for(jittered(history_lost_delay));
+            sleep_until_newer_era(jittered(history_lost_delay));
         } catch (std::exception const& failure) {
             m_is_table_poll_open = false;
             if (is_tables_position_outdated()) {
@@ -209,7 +218,7 @@
             m_state.counters.add(counter::table_reads_failed);
             record_store_availability(false, "tables", failure.what());
             auto const delay = m_plan.watches_tables() ? failure_retry_delay : non_watcher_retry_delay;
-            boost::this_fiber::sleep_for(jittered(failures++ == 0 ? first_failure_retry_delay : delay));
+            sleep_until_newer_era(jittered(failures++ == 0 ? first_failure_retry_delay : delay));
         }
     }
 }
--- a/Libraries/Gateway/gateway/fleet_synchronizer.hpp
+++ b/Libraries/Gateway/gateway/fleet_synchronizer.hpp
@@ -20,6 +20,9 @@
 #include "protocol/http_server.hpp"
 #include "transport/io_thread.hpp"
 
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/mutex.hpp>
+
 #include <functional>
 #include <map>
 #include <memory>
@@ -54,6 +57,8 @@
 
 private:
     void watch_tables();
+    /// Sleeps for `duration`, or until a newer era of the platform's store is known.
+    void sleep_until_newer_era(std::chrono::milliseconds duration);
     void poll_targets();
     void join_fleet();
     void fetch_first_snapshot();
@@ -94,7 +99,8 @@
     [[nodiscard]] http_response handle_peer_request(http_request& request);
     [[nodiscard]] peer_snapshot make_snapshot(snapshot_request const& request) const;
     [[nodiscard]] std::vector<poll_candidate> live_members() const;
-    /// Records the era of the platform's store if it is newer than every era known before.
+    /// Records the era of the platform's store if it is newer than every era known before, and ends what
+    /// waits in an older one.
     void learn_store_era(std::uint64_t era, std::string_view source);
     void record_store_availability(bool is_available, std::string_view call, std::string_view reason);
 
@@ -124,6 +130,8 @@
     bool m_is_table_poll_open = false;         ///< The platform holds a long poll of this instance.
     clock::time_point m_tables_confirmed_at{}; ///< In the newest era known.
     clock::time_point m_store_era_learned_at{};
+    boost::fibers::mutex m_store_era_mutex;
+    boost::fibers::condition_variable m_store_era_learned;
     clock::time_point m_joined_at{}; ///< The first attempt to join the fleet has ended.
     bool m_is_fetching_snapshot = false;
     bool m_is_fetch_scheduled = false;
--- a/Libraries/Protocol/protocol/platform_channel.cpp
+++ b/Libraries/Protocol/protocol/platform_channel.cpp
@@ -14,8 +14,37 @@
     : m_address(std::move(address)), m_limits(limits), m_observe_response(std::move(observe_response)),
       m_connections(io, limits.max_idle_connections, limits.max_idle_time) {}
 
+void call_cancellation::cancel() {
+    m_is_cancelled = true;
+    if (m_connection != nullptr) {
+        m_connection->close();
+    }
+}
+
+http_response platform_channel::exchange(http_connection& connection, http_request const& request,
+                                         steady_time deadline, call_cancellation* cancellation) const {
+    if (cancellation == nullptr) {
+        return connection.exchange(request, m_limits.max_response_bytes, deadline);
+    }
+    if (cancellation->m_is_cancelled) {
+        throw connect_failed("the call was cancelled before the request was sent");
+    }
+    cancellation->m_connection = &connection;
+    try {
+        auto response = connection.exchange(request, m_limits.max_response_bytes, deadline);
+        cancellation->m_connection = nullptr;
+        return response;
+    } catch (...) {
+        cancellation->m_connection = nullptr;
+        throw;
+    }
+}
+
 http_response platform_channel::call(http::verb method, std::string const& target, std::string body,
-                                     std::chrono::milliseconds timeout) {
+                                     std::chrono::milliseconds timeout, call_cancellation* cancellation) {
+    if (cancellation != nullptr) {
+        cancellation->m_is_cancelled = false;
+    }
     http_request request(method, target, 11);
     set_header_field(request, "Host", to_string(m_address));
     if (!body.empty()) {
@@ -30,7 +59,7 @@
         if (connection == nullptr) {
             connection = m_connections.open(m_address, std::min(deadline, now + m_limits.connect_timeout));
         }
-        auto response = connection->exchange(request, m_limits.max_response_bytes, deadline);
+        auto response = exchange(*connection, request, deadline, cancellation);
         m_connections.release(m_address, std::move(connection));
         if (m_observe_response) {
             m_observe_response(response);
--- a/Libraries/Protocol/protocol/platform_channel.hpp
+++ b/Libraries/Protocol/protocol/platform_channel.hpp
@@ -18,6 +18,19 @@
     std::chrono::milliseconds max_idle_time;
 };
 
+/// Ends a call in progress from another fiber of its thread. Serves one call at a time.
+class call_cancellation {
+public:
+    /// Closes the call's connection, so that it throws. Has no effect when no call is in progress.
+    void cancel();
+
+private:
+    friend class platform_channel;
+
+    http_connection* m_connection = nullptr; ///< Of the exchange in progress.
+    bool m_is_cancelled = false;
+};
+
 /// Belongs to one thread; calls suspend the calling fiber.
 class platform_channel {
 public:
@@ -26,13 +39,17 @@
                      std::function<void(http_response const&)> observe_response = {});
 
     /// Throws `platform_unavailable` when the call certainly had no effect: no connection, or status 429 or
-    /// 503. Throws `platform_outcome_unknown` when no complete response arrived within `timeout`.
+    /// 503. Throws `platform_outcome_unknown` when no complete response arrived within `timeout`, or before
+    /// the call was cancelled.
     http_response call(boost::beast::http::verb method, std::string const& target, std::string body,
-                       std::chrono::milliseconds timeout);
+                       std::chrono::milliseconds timeout, call_cancellation* cancellation = nullptr);
     /// Like `call`, for reads, which can be repeated: every failure is `platform_unavailable`.
     http_response get(std::string const& target, std::chrono::milliseconds timeout);
 
 private:
+    [[nodiscard]] http_response exchange(http_connection& connection, http_request const& request,
+                                         steady_time deadline, call_cancellation* cancellation) const;
+
     endpoint m_address;
     platform_channel_limits m_limits;
     std::function<void(http_response const&)> m_observe_response;
--- a/Tests/Processes/test_restored_store.py
+++ b/Tests/Processes/test_restored_store.py
@@ -90,6 +90,15 @@
                 self.put_manifest(f"again{rewrites}")
                 self.wait_until(lambda: self.is_served_everywhere(f"again{rewrites}"))
 
+    def test_feed_of_an_older_era_that_stays_open_hides_no_change(self):
+        copy = self.lose_a_change("lost")
+        self.store.holds_polls = True
+        self.store.start_outage()
+        time.sleep(2)
+        self.store.restore(copy, keeps_polls=True)
+        self.put_manifest("again")
+        self.wait_until(lambda: self.is_served_everywhere("again"))
+
     def test_store_version_behind_the_known_one_costs_few_calls(self):
         self.store.restore(self.lose_a_change("lost", changes=5))
         before, reads_before = self.store.total_calls, self.store.tables_reads
