Gateway: Renew a wait for tables that breaks at once

When the connection of a wait for newer tables broke, the instance paused 250 to 375 ms before it asked again, although it may have missed changes for as long as the connection was silent. Keep-alive probes take up to three seconds to find that, which is all of the time after which an instance counts as connected again, so a change could be late by the pause: 404 for a route that was added.

The first attempt after a broken wait is made at once; the pauses after further failures stay (a store that is away answers the first attempt with a refusal).

process_forwarding, test_wait_for_tables_that_breaks_is_renewed_at_once: failed before (no new wait within 0.2 s), passes now, 22 of 22 of the file.

--- a/Libraries/Gateway/gateway/fleet_synchronizer.cpp
+++ b/Libraries/Gateway/gateway/fleet_synchronizer.cpp
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace pomelospread {
 
@@ -211,14 +212,19 @@
             m_tables_position.reset();
             sleep_until_newer_era(jittered(history_lost_delay));
         } catch (std::exception const& failure) {
-            m_is_table_poll_open = false;
+            bool const was_waiting = std::exchange(m_is_table_poll_open, false);
             if (is_tables_position_outdated()) {
                 continue;
             }
             m_state.counters.add(counter::table_reads_failed);
             record_store_availability(false, "tables", failure.what());
+            if (was_waiting && failures == 0) {
+                // The connection may have been silent for seconds, during which changes were missed.
+                ++failures;
+                continue;
+            }
             auto const delay = m_plan.watches_tables() ? failure_retry_delay : non_watcher_retry_delay;
-            sleep_until_newer_era(jittered(failures++ == 0 ? first_failure_retry_delay : delay));
+            sleep_until_newer_era(jittered(failures++ <= 1 ? first_failure_retry_delay : delay));
         }
     }
 }
--- a/Tests/Processes/platform_stand_in.py
+++ b/Tests/Processes/platform_stand_in.py
@@ -150,6 +150,12 @@
             self.version += 1
             self.oldest_feed_version = self.version
 
+    def cut_polls(self):
+        """Closes the connections of the open feeds without a response."""
+        with self.lock:
+            self.polls_generation += 1
+            self.lock.notify_all()
+
     def start_outage(self):
         with self.lock:
             self.down = True
--- a/Tests/Processes/test_forwarding.py
+++ b/Tests/Processes/test_forwarding.py
@@ -143,6 +143,13 @@
         late_arrivals = [at for _, at in self.faulty.arrivals if at > accepted + 2]
         self.assertEqual(late_arrivals, [])
 
+    # Keep-alive probes take all of the three seconds after which an instance counts as connected again.
+    def test_wait_for_tables_that_breaks_is_renewed_at_once(self):
+        self.wait_until(lambda: self.store.feed_calls > 0)
+        calls = self.store.feed_calls
+        self.store.cut_polls()
+        self.wait_until(lambda: self.store.feed_calls > calls, 0.2)
+
     def test_new_manifest_takes_effect_and_invalid_ones_are_ignored(self):
         self.store.put("op", "config", make_manifest(4, [make_route("more", "safe", "s")], ["s"]))
         self.wait_until(lambda: self.instance.send_request("/more/plain", "m")[0] == 200, 2)
