Coordination: Order target lists by the store's era, and let old rows of a copy undo nothing

After the store came back from an older copy, the fleet kept its list of targets until the store's counter passed the version of the old one, so that a target's leaving was learned seconds late. Then it took the copy as it was: targets that were leaving got requests again, and so did targets that had left; targets that had joined in the lost seconds were dropped at once.

Cause: lists were ordered by the store's version number alone, and every row was taken for current. The first list of a newer era counts as the end of an outage: entries that it lacks are kept for `reregistration_time`. A row of it counts once it was written in the new era: its version is above the first one that the instance heard of, or its sequence above that of the first read. Until then what is known holds; a row that announces a stop always counts. An unknown target whose row is never written again is used after 7 s, when the entry of one that has ended would have expired. A peer's list does not take back a stop that was known. Row versions and sequences are in no message and no digest.

Tests: group restored_target_lists (seven tests, one over nine cases).

--- a/Libraries/Coordination/coordination/target_list_cache.cpp
+++ b/Libraries/Coordination/coordination/target_list_cache.cpp
@@ -21,6 +21,9 @@
     if (snapshot.version < m_snapshot.version) {
         return false;
     }
+    begin_era_if_newer(snapshot.version, read_at);
+    m_restored_list_filter.correct_platform_list(snapshot, m_snapshot.targets, read_at);
+    snapshot.row_writes.clear();
     bool const may_have_missed_outage = has_snapshot() && read_at - m_read_at > m_limits.max_read_gap;
     if (m_in_outage || may_have_missed_outage) {
         m_outage_ended_at = read_at;
@@ -41,9 +44,18 @@
     if (snapshot.version < m_snapshot.version) {
         return false;
     }
+    begin_era_if_newer(snapshot.version, read_at);
+    m_restored_list_filter.correct_peer_list(snapshot);
     return replace(std::move(snapshot), read_at);
 }
 
+void target_list_cache::begin_era_if_newer(store_version version, time_point read_at) {
+    if (has_snapshot() && version.era > m_snapshot.version.era) {
+        m_restored_list_filter.begin_era(version, m_snapshot.targets, read_at);
+        m_outage_ended_at = read_at;
+    }
+}
+
 bool target_list_cache::replace(target_list_snapshot snapshot, time_point read_at) {
     m_read_at = std::max(m_read_at, read_at);
     m_snapshot = std::move(snapshot);
@@ -59,10 +71,11 @@
     }
 }
 
-void target_list_cache::confirm_unchanged(std::uint64_t version, std::uint64_t digest, time_point read_at) {
+void target_list_cache::confirm_unchanged(store_version version, std::uint64_t digest, time_point read_at) {
     if (digest != m_digest || version < m_snapshot.version) {
         return;
     }
+    begin_era_if_newer(version, read_at);
     m_snapshot.version = version;
     m_read_at = std::max(m_read_at, read_at);
 }
--- a/Libraries/Coordination/coordination/target_list_cache.hpp
+++ b/Libraries/Coordination/coordination/target_list_cache.hpp
@@ -1,35 +1,15 @@
 // The targets that registered themselves, as last read from the platform or received from another instance.
 #pragma once
 
-#include "base/endpoint.hpp"
+#include "coordination/restored_list_filter.hpp"
+#include "coordination/target_list_snapshot.hpp"
 
 #include <chrono>
 #include <cstdint>
-#include <string>
 #include <vector>
 
 namespace pomelospread {
 
-/// One incarnation of a target, as the platform lists it.
-struct listed_target {
-    std::string id;
-    std::string pool;
-    endpoint address;
-    std::string zone;
-    std::int64_t slots = 1;
-    bool leaving = false; ///< The target announced its stop; it gets no new request.
-    std::int64_t warm_up_remaining_ms = 0;
-    std::int64_t started_unix_ms = 0; ///< A different value under the same id is another incarnation.
-
-    bool operator==(listed_target const&) const = default;
-};
-
-/// The platform's complete list at one time, in order of the ids.
-struct target_list_snapshot {
-    std::uint64_t version = 0; ///< The platform's version at the time of the read.
-    std::vector<listed_target> targets;
-};
-
 struct target_list_cache_limits {
     /// When more time than this lies between two reads, an outage between them may have gone unnoticed.
     std::chrono::milliseconds max_read_gap{2500};
@@ -46,7 +26,9 @@
 
     /// Applies a snapshot that was read from the platform at `read_at`, unless its version is older than the
     /// current one. After an outage, entries that it lacks are retained for `reregistration_time`, since
-    /// entries expire while the platform is unreachable. Returns whether the list changed.
+    /// entries expire while the platform is unreachable. The first list of a newer era of the platform's
+    /// store counts as the end of an outage, and rows that were not written since do not change what is
+    /// known. Returns whether the list changed.
     bool apply_platform_snapshot(target_list_snapshot snapshot, time_point read_at);
     /// Applies the current list of a peer, unless its version is older than the current one. The peer has
     /// already retained entries after an outage, so entries that its list lacks are removed. Returns whether
@@ -57,19 +39,21 @@
     void record_read_failure(time_point now);
     /// A peer read the platform's list at `read_at`. Updates the version and the time of the current list
     /// when both lists have the same digest.
-    void confirm_unchanged(std::uint64_t version, std::uint64_t digest, time_point read_at);
+    void confirm_unchanged(store_version version, std::uint64_t digest, time_point read_at);
 
-    [[nodiscard]] bool has_snapshot() const noexcept { return m_snapshot.version > 0; }
+    [[nodiscard]] bool has_snapshot() const noexcept { return m_snapshot.version != store_version{}; }
     [[nodiscard]] target_list_snapshot const& current() const noexcept { return m_snapshot; }
     /// Digest of the current list; see `target_list_digest`.
     [[nodiscard]] std::uint64_t digest() const noexcept { return m_digest; }
     [[nodiscard]] time_point read_at() const noexcept { return m_read_at; }
 
 private:
+    void begin_era_if_newer(store_version version, time_point read_at);
     bool replace(target_list_snapshot snapshot, time_point read_at);
 
     target_list_cache_limits m_limits;
     target_list_snapshot m_snapshot;
+    restored_list_filter m_restored_list_filter;
     std::uint64_t m_digest = 0;
     time_point m_read_at{};
     time_point m_outage_ended_at{}; ///< Time of the first read after an outage.
--- a/Libraries/Gateway/gateway/fleet_messages.cpp
+++ b/Libraries/Gateway/gateway/fleet_messages.cpp
@@ -8,6 +8,11 @@
 
 namespace pomelospread {
 
+template<class Archive>
+void serialize(Archive& archive, store_version& value) {
+    archive(value.era, value.number);
+}
+
 template<class Archive>
 void serialize(Archive& archive, listed_target& value) {
     archive(value.id, value.pool, value.address, value.zone, value.slots, value.leaving,
--- a/Libraries/Gateway/gateway/fleet_messages.hpp
+++ b/Libraries/Gateway/gateway/fleet_messages.hpp
@@ -15,7 +15,7 @@
 
 /// The version of the sender's target list, and the changes that lead to it.
 struct target_list_update {
-    std::uint64_t version = 0; ///< 0: the sender has no list.
+    store_version version; ///< Number 0 of era 0: the sender has no list.
     std::uint64_t digest = 0;
     std::uint32_t list_age_ms = 0; ///< Since the list was read from the platform.
     /// Digest of the list that `changed_targets` and `removed_target_ids` apply to; 0: they are not sent.
@@ -85,7 +85,7 @@
 struct peer_snapshot {
     routing_tables current_tables; ///< Version 0: the sender has none.
     std::uint64_t tables_era = 0;  ///< `tables_identity::era`.
-    std::uint64_t target_list_version = 0;
+    store_version target_list_version;
     std::uint32_t target_list_age_ms = 0;
     std::vector<listed_target> targets;
     std::vector<instance_entry> members;
--- a/Libraries/Gateway/gateway/fleet_synchronizer.cpp
+++ b/Libraries/Gateway/gateway/fleet_synchronizer.cpp
@@ -374,7 +374,8 @@
     });
     auto const leaving = std::ranges::count_if(current.targets, &listed_target::leaving);
     log_line(log_level::info, "targets_applied")
-        .field("version", current.version)
+        .field("version", current.version.number)
+        .field("era", current.version.era)
         .field("targets", static_cast<std::uint64_t>(current.targets.size()))
         .field("leaving", static_cast<std::int64_t>(leaving))
         .field("source", source)
@@ -383,9 +384,10 @@
 
 bool fleet_synchronizer::handle_target_list_update(target_list_update const& update, endpoint const& sender,
                                                    clock::time_point sent_at) {
-    if (update.version == 0) {
+    if (update.version == store_version{}) {
         return false;
     }
+    learn_store_era(update.version.era, "peer");
     auto const read_at = sent_at - milliseconds(update.list_age_ms);
     auto const previous_read_at = m_target_list.read_at();
     if (update.digest == m_target_list.digest()) {
@@ -616,7 +618,8 @@
             apply_tables(std::move(snapshot.current_tables), snapshot.tables_era, "peer");
         }
         auto const previous = m_target_list.current();
-        if (snapshot.target_list_version > 0 &&
+        learn_store_era(snapshot.target_list_version.era, "peer");
+        if (snapshot.target_list_version != store_version{} &&
             m_target_list.apply_peer_snapshot(
                 {.version = snapshot.target_list_version, .targets = std::move(snapshot.targets)},
                 started - milliseconds(snapshot.target_list_age_ms))) {
@@ -720,7 +723,7 @@
     }
     return nlohmann::json{{"instance", format_instance_id(m_membership.self().id)},
                           {"tables_version", m_state.routes.load()->tables().version},
-                          {"targets_version", m_target_list.current().version},
+                          {"targets_version", m_target_list.current().version.number},
                           {"targets", m_target_list.current().targets.size()},
                           {"targets_age_ms", age_ms(m_target_list.read_at(), clock::now())},
                           {"store_answers", m_is_store_available},
--- a/Libraries/Gateway/gateway/snapshot_exchange.cpp
+++ b/Libraries/Gateway/gateway/snapshot_exchange.cpp
@@ -31,7 +31,8 @@
     return std::string(snapshot_exchange::path) + "?tables=" + std::to_string(request.tables.version) +
            "&tables_era=" + std::to_string(request.tables.era) +
            "&tables_digest=" + std::to_string(request.tables.digest) +
-           "&targets=" + std::to_string(request.target_list_version) +
+           "&targets=" + std::to_string(request.target_list_version.number) +
+           "&targets_era=" + std::to_string(request.target_list_version.era) +
            "&members=" + (request.with_members ? "1" : "0") + "&zone=" + request.zone;
 }
 
@@ -39,7 +40,8 @@
     return {.tables = {.version = number_parameter(request_target, "tables"),
                        .era = number_parameter(request_target, "tables_era"),
                        .digest = number_parameter(request_target, "tables_digest")},
-            .target_list_version = number_parameter(request_target, "targets"),
+            .target_list_version = {.era = number_parameter(request_target, "targets_era"),
+                                    .number = number_parameter(request_target, "targets")},
             .with_members = query_parameter(request_target, "members") != "0",
             .zone = query_parameter(request_target, "zone")};
 }
--- a/Libraries/Gateway/gateway/snapshot_exchange.hpp
+++ b/Libraries/Gateway/gateway/snapshot_exchange.hpp
@@ -14,8 +14,8 @@
 
 /// The parts of a snapshot that an instance asks for, so that it is not sent what it has.
 struct snapshot_request {
-    tables_identity tables;                ///< The requester's; tables that supersede them are sent.
-    std::uint64_t target_list_version = 0; ///< The requester's; a newer list is sent.
+    tables_identity tables;            ///< The requester's; tables that supersede them are sent.
+    store_version target_list_version; ///< The requester's; a newer list is sent.
     bool with_members = true;
     std::string zone; ///< The requester's, for the counters of bytes.
 };
--- a/Tests/Coordination/test_target_list_cache.cpp
+++ b/Tests/Coordination/test_target_list_cache.cpp
@@ -3,7 +3,9 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <array>
+#include <optional>
 
 using namespace pomelospread;
 using namespace std::chrono_literals;
@@ -22,52 +24,166 @@
 };
 
 TEST(target_list_caches, missing_entry_is_removed_at_once_without_an_outage) {
-    cache.apply_platform_snapshot({.version = 1, .targets = {target("a"), target("b")}}, now);
-    CHECK(cache.apply_platform_snapshot({.version = 2, .targets = {target("a")}}, now + 800ms));
+    cache.apply_platform_snapshot({.version = {.number = 1}, .targets = {target("a"), target("b")}}, now);
+    CHECK(cache.apply_platform_snapshot({.version = {.number = 2}, .targets = {target("a")}}, now + 800ms));
     LONGS_EQUAL(1, cache.current().targets.size());
 }
 
 TEST(target_list_caches, entry_that_expired_in_an_outage_is_retained_until_it_could_register_again) {
-    cache.apply_platform_snapshot({.version = 1, .targets = {target("a"), target("b")}}, now);
+    cache.apply_platform_snapshot({.version = {.number = 1}, .targets = {target("a"), target("b")}}, now);
     cache.record_read_failure(now + 3s);
-    cache.apply_platform_snapshot({.version = 2, .targets = {}}, now + 6s);
+    cache.apply_platform_snapshot({.version = {.number = 2}, .targets = {}}, now + 6s);
     LONGS_EQUAL(2, cache.current().targets.size());
-    cache.apply_platform_snapshot({.version = 3, .targets = {target("b")}}, now + 7s);
+    cache.apply_platform_snapshot({.version = {.number = 3}, .targets = {target("b")}}, now + 7s);
     LONGS_EQUAL(2, cache.current().targets.size());
-    cache.apply_platform_snapshot({.version = 4, .targets = {target("b")}}, now + 9s);
+    cache.apply_platform_snapshot({.version = {.number = 4}, .targets = {target("b")}}, now + 9s);
     LONGS_EQUAL(1, cache.current().targets.size());
     STRCMP_EQUAL("b", cache.current().targets.front().id.c_str());
 }
 
 TEST(target_list_caches, leaving_flag_is_applied_also_after_an_outage) {
-    cache.apply_platform_snapshot({.version = 1, .targets = {target("a")}}, now);
+    cache.apply_platform_snapshot({.version = {.number = 1}, .targets = {target("a")}}, now);
     cache.record_read_failure(now + 3s);
-    cache.apply_platform_snapshot({.version = 2, .targets = {target("a", true)}}, now + 6s);
+    cache.apply_platform_snapshot({.version = {.number = 2}, .targets = {target("a", true)}}, now + 6s);
     CHECK(cache.current().targets.front().leaving);
 }
 
 TEST(target_list_caches, older_version_never_replaces_a_newer_one) {
-    cache.apply_platform_snapshot({.version = 5, .targets = {target("a", true)}}, now);
-    CHECK_FALSE(cache.apply_platform_snapshot({.version = 4, .targets = {target("a")}}, now + 1s));
-    CHECK_FALSE(cache.apply_peer_snapshot({.version = 4, .targets = {target("a")}}, now + 1s));
+    cache.apply_platform_snapshot({.version = {.number = 5}, .targets = {target("a", true)}}, now);
+    CHECK_FALSE(
+        cache.apply_platform_snapshot({.version = {.number = 4}, .targets = {target("a")}}, now + 1s));
+    CHECK_FALSE(cache.apply_peer_snapshot({.version = {.number = 4}, .targets = {target("a")}}, now + 1s));
     CHECK(cache.current().targets.front().leaving);
 }
 
 TEST(target_list_caches, confirmation_applies_only_to_the_same_list) {
-    cache.apply_platform_snapshot({.version = 1, .targets = {target("a")}}, now);
-    cache.confirm_unchanged(3, cache.digest() + 1, now + 1s);
+    cache.apply_platform_snapshot({.version = {.number = 1}, .targets = {target("a")}}, now);
+    cache.confirm_unchanged({.number = 3}, cache.digest() + 1, now + 1s);
     CHECK(cache.read_at() == now);
-    cache.confirm_unchanged(3, cache.digest(), now + 1s);
+    cache.confirm_unchanged({.number = 3}, cache.digest(), now + 1s);
     CHECK(cache.read_at() == now + 1s);
-    LONGS_EQUAL(3, cache.current().version);
+    LONGS_EQUAL(3, cache.current().version.number);
 }
 
 TEST(target_list_caches, remaining_warm_up_time_is_not_a_change) {
     auto warm = target("a");
     warm.warm_up_remaining_ms = 3000;
-    cache.apply_platform_snapshot({.version = 1, .targets = {warm}}, now);
+    cache.apply_platform_snapshot({.version = {.number = 1}, .targets = {warm}}, now);
     warm.warm_up_remaining_ms = 1500;
-    CHECK_FALSE(cache.apply_platform_snapshot({.version = 2, .targets = {warm}}, now + 1s));
+    CHECK_FALSE(cache.apply_platform_snapshot({.version = {.number = 2}, .targets = {warm}}, now + 1s));
+}
+
+namespace {
+
+/// A row of the store's copy: `first` as the first read of the era shows it, `later` as the second.
+struct restored_row_case {
+    char const* name;
+    std::optional<listed_target> known;
+    listed_target row;
+    row_write first;
+    row_write later;
+    char const* expected; ///< After each read: absent (-), ready (R) or leaving (L).
+};
+
+listed_target incarnation(std::int64_t started, bool leaving = false) {
+    auto result = target("a", leaving);
+    result.started_unix_ms = started;
+    return result;
+}
+
+std::array<restored_row_case, 9> const restored_row_cases{{
+    {"old row of a leaving target", incarnation(1, true), incarnation(1), {40, 5}, {40, 5}, "LL"},
+    {"leaving target wrote", incarnation(1, true), incarnation(1), {40, 5}, {62, 5}, "LR"},
+    {"leaving target wrote without a version", incarnation(1, true), incarnation(1), {40, 5}, {40, 6}, "LR"},
+    {"old row of a target that left", std::nullopt, incarnation(1), {40, 5}, {40, 5}, "--"},
+    {"target that was not known wrote", std::nullopt, incarnation(1), {40, 5}, {40, 6}, "-R"},
+    {"old row announces a stop", incarnation(1), incarnation(1, true), {40, 5}, {40, 5}, "LL"},
+    {"old row of an earlier start", incarnation(2, true), incarnation(1), {40, 5}, {40, 5}, "LL"},
+    {"old row of a later start", incarnation(1, true), incarnation(2), {40, 5}, {40, 5}, "RR"},
+    {"ready target did not write", incarnation(1), incarnation(1), {40, 5}, {40, 5}, "RR"},
+}};
+
+target_list_snapshot read_of(store_version version, listed_target row, row_write write) {
+    return {.version = version, .targets = {std::move(row)}, .row_writes = {write}};
+}
+
+char state_of_a(target_list_cache const& cache) {
+    auto const& targets = cache.current().targets;
+    auto const found = std::ranges::find(targets, "a", &listed_target::id);
+    return found == targets.end() ? '-' : found->leaving ? 'L' : 'R';
+}
+
+} // namespace
+
+TEST_GROUP(restored_target_lists) {
+    target_list_cache cache;
+    target_list_cache::time_point now{100s};
+};
+
+TEST(restored_target_lists, rows_count_once_they_are_written_in_the_new_era) {
+    for (auto const& each : restored_row_cases) {
+        target_list_cache list;
+        target_list_snapshot known{.version = {1, 55}, .targets = {target("other")}};
+        if (each.known) {
+            known.targets.insert(known.targets.begin(), *each.known);
+        }
+        list.apply_platform_snapshot(std::move(known), now);
+        list.apply_platform_snapshot(read_of({2, 53}, each.row, each.first), now + 3s);
+        CHECK_EQUAL_TEXT(each.expected[0], state_of_a(list), each.name);
+        list.apply_platform_snapshot(read_of({2, 70}, each.row, each.later), now + 8s);
+        CHECK_EQUAL_TEXT(each.expected[1], state_of_a(list), each.name);
+    }
+}
+
+TEST(restored_target_lists, lower_number_of_a_newer_era_replaces_the_list) {
+    cache.apply_platform_snapshot({.version = {1, 55}, .targets = {target("b")}}, now);
+    cache.apply_platform_snapshot(read_of({2, 10}, incarnation(1, true), {9, 5}), now + 1s);
+    CHECK(cache.current().version == store_version(2, 10));
+    CHECK_FALSE(cache.apply_peer_snapshot({.version = {1, 99}, .targets = {}}, now + 1s));
+    LONGS_EQUAL(1, cache.current().targets.size());
+}
+
+TEST(restored_target_lists, missing_entry_is_kept_while_it_may_register_again) {
+    cache.apply_platform_snapshot({.version = {1, 55}, .targets = {incarnation(1)}}, now);
+    cache.apply_platform_snapshot({.version = {2, 53}, .targets = {}}, now + 800ms);
+    cache.apply_platform_snapshot({.version = {2, 54}, .targets = {}}, now + 2800ms);
+    CHECK_EQUAL('R', state_of_a(cache));
+    cache.apply_platform_snapshot({.version = {2, 54}, .targets = {}}, now + 3100ms);
+    CHECK_EQUAL('-', state_of_a(cache));
+}
+
+TEST(restored_target_lists, peer_list_of_a_newer_era_does_not_take_back_an_announced_stop) {
+    cache.apply_platform_snapshot({.version = {1, 55}, .targets = {incarnation(1, true)}}, now);
+    for (std::uint64_t number : {53, 54}) {
+        cache.apply_peer_snapshot({.version = {2, number}, .targets = {incarnation(1)}}, now + 1s);
+        CHECK_EQUAL('L', state_of_a(cache));
+    }
+    cache.apply_peer_snapshot({.version = {2, 55}, .targets = {incarnation(2)}}, now + 2s);
+    CHECK_EQUAL('R', state_of_a(cache));
+}
+
+TEST(restored_target_lists, new_reader_continues_from_the_list_of_the_reader_before) {
+    for (bool const is_written : {false, true}) {
+        target_list_cache list;
+        list.apply_platform_snapshot({.version = {1, 55}, .targets = {target("other")}}, now);
+        list.confirm_unchanged({2, 53}, list.digest(), now + 1s);
+        list.apply_platform_snapshot(read_of({2, 60}, incarnation(1), {is_written ? 54U : 53U, 5}), now + 2s);
+        CHECK_EQUAL(is_written ? 'R' : '-', state_of_a(list));
+    }
+}
+
+TEST(restored_target_lists, unknown_target_that_never_writes_is_used_once_an_ended_one_would_have_expired) {
+    cache.apply_platform_snapshot({.version = {1, 55}, .targets = {target("other")}}, now);
+    cache.apply_platform_snapshot(read_of({2, 54}, incarnation(1), {54, 5}), now + 1s);
+    cache.apply_platform_snapshot(read_of({2, 54}, incarnation(1), {54, 5}), now + 8s);
+    CHECK_EQUAL('-', state_of_a(cache));
+    cache.apply_platform_snapshot(read_of({2, 54}, incarnation(1), {54, 5}), now + 8100ms);
+    CHECK_EQUAL('R', state_of_a(cache));
+}
+
+TEST(restored_target_lists, instance_without_a_list_takes_every_row) {
+    cache.apply_platform_snapshot(read_of({2, 53}, incarnation(1), {40, 5}), now);
+    CHECK_EQUAL('R', state_of_a(cache));
 }
 
 TEST_GROUP(list_poll_schedules){};
--- a/Tests/Fuzz/decoders.cpp
+++ b/Tests/Fuzz/decoders.cpp
@@ -29,7 +29,7 @@
     }
 }
 
-listed_target decode_target_entry(std::string_view bytes) {
+platform::target_entry decode_target_entry(std::string_view bytes) {
     return platform::decode_target_entry("i-1", bytes);
 }
 
--- a/Tests/Gateway/test_load_exchange.cpp
+++ b/Tests/Gateway/test_load_exchange.cpp
@@ -106,11 +106,13 @@
 TEST(fleet_messages_codec, messages_round_trip_and_other_bytes_throw_malformed_message) {
     fleet_datagram const message{
         .has_list_update = true,
-        .list_update = {.version = 7, .digest = 8, .changed_targets = {{.id = "a", .pool = "p"}}},
+        .list_update = {.version = {.era = 2, .number = 7},
+                        .digest = 8,
+                        .changed_targets = {{.id = "a", .pool = "p"}}},
         .load_updates = {{.target_hash = 5, .in_flight = 3, .slowdown_percent = 500}}};
     auto const bytes = encode_datagram(message);
     auto const decoded = decode_datagram(bytes);
-    LONGS_EQUAL(7, decoded.list_update.version);
+    CHECK(decoded.list_update.version == store_version(2, 7));
     STRCMP_EQUAL("a", decoded.list_update.changed_targets.front().id.c_str());
     LONGS_EQUAL(500, decoded.load_updates.front().slowdown_percent);
     rc::check("arbitrary bytes", [&](std::string const& text, std::size_t cut) {
--- a/Tests/Gateway/test_target_list_updates.cpp
+++ b/Tests/Gateway/test_target_list_updates.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 target_list_snapshot make_list(std::uint64_t version, std::vector<int> const& ids, int slots = 6) {
-    target_list_snapshot result{.version = version, .targets = {}};
+    target_list_snapshot result{.version = {.number = version}, .targets = {}};
     for (int const id : ids) {
         result.targets.push_back({.id = "i-" + std::to_string(1000 + id),
                                   .pool = "p",
@@ -43,7 +43,7 @@
         list = *apply_target_list_update(list, target_list_digest(list.targets), update);
     }
     CHECK(list.targets == after.targets);
-    LONGS_EQUAL(9, list.version);
+    LONGS_EQUAL(9, list.version.number);
 }
 
 TEST(target_list_update_sequence,
@@ -51,7 +51,7 @@
     auto const before = make_list(3, id_range(0, 4));
     auto const updates = make_target_list_updates(before, make_list(9, id_range(0, 30)), 5);
     auto const first = *apply_target_list_update(before, target_list_digest(before.targets), updates.front());
-    LONGS_EQUAL(3, first.version);
+    LONGS_EQUAL(3, first.version.number);
     CHECK_FALSE(
         apply_target_list_update(first, target_list_digest(first.targets), updates.back()).has_value());
     CHECK(updates.back().version > first.version);
@@ -62,7 +62,7 @@
         make_target_list_updates(make_list(3, id_range(0, 800)), make_list(9, id_range(0, 800), 7), 5);
     LONGS_EQUAL(1, updates.size());
     LONGS_EQUAL(0, updates.front().delta_base_digest);
-    LONGS_EQUAL(9, updates.front().version);
+    LONGS_EQUAL(9, updates.front().version.number);
 }
 
 TEST(target_list_update_sequence, updates_lead_from_any_list_to_any_other) {
@@ -79,7 +79,7 @@
                 list = *apply_target_list_update(list, target_list_digest(list.targets), update);
             }
             RC_ASSERT(list.targets == after.targets);
-            RC_ASSERT(list.version == 2U);
+            RC_ASSERT(list.version.number == 2U);
         });
     CHECK(holds);
 }
--- a/Tests/Platform/test_document_codec.cpp
+++ b/Tests/Platform/test_document_codec.cpp
@@ -54,11 +54,12 @@
 }
 
 TEST(document_codec, decodes_a_target_entry) {
-    auto const target = platform::decode_target_entry("i-1", target_entry);
+    auto const target = platform::decode_target_entry("i-1", target_entry).target;
     STRCMP_EQUAL("10.0.0.9:80", to_string(target.address).c_str());
     LONGS_EQUAL(1500, target.warm_up_remaining_ms);
     CHECK_FALSE(target.leaving);
-    CHECK(platform::decode_target_entry("i-1", replaced(target_entry, "\"ready\"", "\"draining\"")).leaving);
+    CHECK(platform::decode_target_entry("i-1", replaced(target_entry, "\"ready\"", "\"draining\""))
+              .target.leaving);
 }
 
 TEST(document_codec, rejects_malformed_target_entries) {
--- a/Tests/Processes/test_restored_store.py
+++ b/Tests/Processes/test_restored_store.py
@@ -28,8 +28,8 @@
         self.addCleanup(self.store.close)
         self.version = 5
         self.put_manifest("first")
-        self.target = TargetStandIn("i-0", faults_enabled=False)
-        self.store.put("servers", "i-0", make_target_entry(self.target, "s"))
+        self.targets = [TargetStandIn(f"i-{number}", faults_enabled=False) for number in range(2)]
+        self.publish(self.targets[0])
         self.ports = {name: fleets.free_port() for name in LISTENERS}
         self.instances = []
         self.paths = [StorePath(self.store) for _ in range(2)]
@@ -71,6 +71,26 @@
     def logged(self, event):
         return sum(instance.log_path.read_text().count(f"event={event} ") for instance in self.instances)
 
+    def publish(self, target, state="ready"):
+        self.store.put("servers", target.name, make_target_entry(target, "s", state))
+
+    def receives_requests(self, target, seconds):
+        """Whether requests reach the target in the last of the seconds."""
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            for instance in self.instances:
+                instance.send_request("/first/plain", f"t{time.monotonic_ns()}")
+            time.sleep(0.02)
+        return any(at > until - 1 for _, at in target.arrivals)
+
+    def wait_for_targets(self, count, timeout=CHANGE_BOUND_S):
+        self.wait_until(lambda: all(self.status(instance)["targets"] == count for instance in self.instances), timeout,
+                        f"{count} targets")
+
+    def raise_store_version(self):
+        for _ in range(10):
+            self.store.put("other", "row", {})
+
     def lose_a_change(self, name, changes=1):
         """Returns the copy that lacks it; it is in force everywhere."""
         copy = self.store.take_copy()
@@ -137,6 +157,54 @@
         self.put_manifest("last")
         self.wait_until(lambda: self.is_served_everywhere("last"))
 
+    def test_target_whose_leaving_was_lost_gets_no_requests(self):
+        target = self.targets[1]
+        for is_listed in (True, False):
+            with self.subTest(is_listed=is_listed):
+                self.publish(target)
+                self.wait_for_targets(2)
+                copy = self.store.take_copy()
+                if is_listed:
+                    self.publish(target, "draining")
+                else:
+                    self.store.remove("servers", target.name)
+                self.assertFalse(self.receives_requests(target, 3))
+                self.store.restore(copy)
+                self.raise_store_version()
+                self.assertFalse(self.receives_requests(target, 3))
+                self.store.remove("servers", target.name)
+                self.wait_for_targets(1, 5)
+
+    def test_target_whose_entry_was_lost_is_kept_until_it_could_register_again(self):
+        for registers in (True, False):
+            with self.subTest(registers=registers):
+                copy = self.store.take_copy()
+                self.publish(self.targets[1])
+                self.wait_for_targets(2)
+                self.store.restore(copy)
+                self.raise_store_version()
+                until = time.monotonic() + 1.5
+                while time.monotonic() < until:
+                    self.assertEqual({self.status(instance)["targets"] for instance in self.instances}, {2})
+                if registers:
+                    self.publish(self.targets[1])
+                    time.sleep(2)
+                    self.wait_for_targets(2)
+                    self.store.remove("servers", self.targets[1].name)
+                self.wait_for_targets(1, 3)
+
+    def test_leaving_is_learned_while_the_store_version_is_behind_the_known_one(self):
+        self.publish(self.targets[1])
+        self.wait_for_targets(2)
+        copy = self.store.take_copy()
+        self.raise_store_version()
+        time.sleep(1.5)
+        self.store.restore(copy)
+        time.sleep(1)
+        self.publish(self.targets[1], "draining")
+        time.sleep(CHANGE_BOUND_S - 1)
+        self.assertFalse(self.receives_requests(self.targets[1], 2))
+
     def test_the_era_is_in_the_status_and_the_log(self):
         copy = self.store.take_copy()
         self.store.restore(copy)
