Gateway: Write again what the platform's store may have lost of the instance's own

When the store came back from an older copy, an instance that had registered in the lost seconds was missing in the list that starting instances read, and account objects that the store had acknowledged were gone: the instance had forgotten them. Change: `recent_object_store` keeps the objects of the last minute, up to 4 MiB. In a newer era the instance writes its own entry again, if that is not older, and stores the objects under the same names, within two seconds at random after it learned of the era. A name that exists counts as stored. `registered_again` and `objects_stored_again` are logged.

--- a/Libraries/Gateway/gateway/fleet_synchronizer.cpp
+++ b/Libraries/Gateway/gateway/fleet_synchronizer.cpp
@@ -32,6 +32,9 @@
 /// read at this interval.
 constexpr auto history_lost_delay = milliseconds(500);
 constexpr auto registration_retry_delay = milliseconds(1500);
+/// In a new era of the platform's store, all instances write again what it may have lost, spread over this
+/// time.
+constexpr auto rewrite_spread = milliseconds(2000);
 /// An instance that does not watch the tables asks the platform itself after this silence.
 constexpr auto max_tables_silence = milliseconds(1500);
 /// Such instances, and those that have no target list yet, spread their polls over this time.
@@ -83,8 +86,8 @@
       m_peer_connections(thread.io(), 1, std::chrono::seconds(5)),
       m_snapshots(m_peer_connections, state.settings.zone, state.counters,
                   [this](snapshot_request const& request) { return make_snapshot(request); }),
-      m_object_collector(thread, store.objects(), m_membership.self().id),
-      m_objects(store.objects(), m_object_collector, m_peer_connections, m_plan),
+      m_recent_objects(store.objects()), m_object_collector(thread, m_recent_objects, m_membership.self().id),
+      m_objects(m_recent_objects, m_object_collector, m_peer_connections, m_plan),
       m_homes(state.settings.homes),
       m_load_exchange(state, m_homes, [this](fleet_datagram const& message, endpoint const& to) {
           m_socket.send(message, to);
@@ -132,13 +135,36 @@
         .field("after", era)
         .field("source", source)
         .write();
-    m_store_era = era;
+    auto const before = std::exchange(m_store_era, era);
     m_store_era_learned_at = clock::now();
     m_tables_confirmed_at = {};
     if (m_is_table_poll_open) {
         m_store.cancel_wait_for_newer_tables();
     }
     m_store_era_learned.notify_all();
+    if (before > 0) {
+        m_thread.spawn([this] {
+            boost::this_fiber::sleep_for(random_up_to(rewrite_spread));
+            register_again();
+            m_recent_objects.store_again();
+        });
+    }
+}
+
+void fleet_synchronizer::register_again() {
+    auto const era = m_store_era;
+    while (!m_stopping && !m_membership.self().leaving && era == m_store_era &&
+           clock::now() - m_registered_at < recent_object_limits{}.window) {
+        try {
+            m_store.instances().register_instance(m_membership.self());
+            m_registered_at = clock::now();
+            log_line(log_level::info, "registered_again").field("era", era).write();
+            return;
+        } catch (std::exception const& failure) {
+            record_store_availability(false, "members", failure.what());
+            boost::this_fiber::sleep_for(jittered(registration_retry_delay));
+        }
+    }
 }
 
 void fleet_synchronizer::sleep_until_newer_era(milliseconds duration) {
@@ -464,6 +490,7 @@
     while (!m_stopping && !registered) {
         try {
             m_store.instances().register_instance(m_membership.self());
+            m_registered_at = clock::now();
             auto const entries = m_store.instances().list_instances();
             m_membership.merge_platform_list(entries, clock::now());
             registered = true;
--- a/Libraries/Gateway/gateway/fleet_synchronizer.hpp
+++ b/Libraries/Gateway/gateway/fleet_synchronizer.hpp
@@ -14,6 +14,7 @@
 #include "gateway/forwarding_state.hpp"
 #include "gateway/load_exchange.hpp"
 #include "gateway/object_collector.hpp"
+#include "gateway/recent_object_store.hpp"
 #include "gateway/snapshot_exchange.hpp"
 #include "gateway/target_client.hpp"
 #include "protocol/http_connection.hpp"
@@ -57,6 +58,8 @@
 
 private:
     void watch_tables();
+    /// Writes this instance's entry again if the platform's store may have lost it.
+    void register_again();
     /// Sleeps for `duration`, or until a newer era of the platform's store is known.
     void sleep_until_newer_era(std::chrono::milliseconds duration);
     void poll_targets();
@@ -117,6 +120,7 @@
     http_server m_peer_server;
     connection_cache m_peer_connections;
     snapshot_exchange m_snapshots;
+    recent_object_store m_recent_objects;
     object_collector m_object_collector;
     fleet_object_store m_objects;
     home_directory m_homes;
@@ -132,6 +136,7 @@
     clock::time_point m_store_era_learned_at{};
     boost::fibers::mutex m_store_era_mutex;
     boost::fibers::condition_variable m_store_era_learned;
+    clock::time_point m_registered_at{};
     clock::time_point m_joined_at{}; ///< The first attempt to join the fleet has ended.
     bool m_is_fetching_snapshot = false;
     bool m_is_fetch_scheduled = false;
--- a/Tests/Processes/platform_stand_in.py
+++ b/Tests/Processes/platform_stand_in.py
@@ -167,12 +167,13 @@
 
     def take_copy(self):
         with self.lock:
-            return dict(self.rows), self.version
+            return dict(self.rows), self.version, len(self.object_names)
 
     def restore(self, copy, keeps_polls=False):
         """Comes back from an older copy, in a new era."""
         with self.lock:
             self.rows, self.version = dict(copy[0]), copy[1]
+            del self.object_names[copy[2]:]
             self.era += 1
             self.polls_generation += not keeps_polls
             self.down = False
--- a/Tests/Processes/test_restored_store.py
+++ b/Tests/Processes/test_restored_store.py
@@ -32,16 +32,17 @@
         self.publish(self.targets[0])
         self.ports = {name: fleets.free_port() for name in LISTENERS}
         self.instances = []
-        self.paths = [StorePath(self.store) for _ in range(2)]
-        for number in range(len(self.paths)):
+        self.paths = [StorePath(self.store) for _ in range(3)]
+        self.first_copy = self.store.take_copy()
+        for number in range(2):
             self.instances.append(self.start_instance(number))
         self.wait_until(lambda: all(instance.is_ready() for instance in self.instances), 15)
         # Until both have opened a feed.
         self.wait_until(lambda: self.store.feed_calls >= 2, 4)
 
-    def start_instance(self, number):
+    def start_instance(self, number, **settings):
         instance = ForwardingInstance(f"127.0.30.{number + 1}", self.ports, self.paths[number], self.folder,
-                                      seeds="127.0.30.1:1,127.0.30.2:1")
+                                      seeds="127.0.30.1:1,127.0.30.2:1", settings=settings)
         self.addCleanup(instance.kill)
         return instance
 
@@ -205,6 +206,17 @@
         time.sleep(CHANGE_BOUND_S - 1)
         self.assertFalse(self.receives_requests(self.targets[1], 2))
 
+    def test_entries_and_account_objects_that_were_lost_are_written_again(self):
+        self.instances.append(self.start_instance(2, account_flush_s=0.5))
+        self.instances[2].wait_until_ready()
+        self.assertTrue(self.is_served_everywhere("first"))
+        self.wait_until(lambda: self.store.object_names)
+        time.sleep(1)
+        names = set(self.store.object_names)
+        self.store.restore(self.first_copy)
+        self.wait_until(lambda: names <= set(self.store.object_names), 5, "the objects")
+        self.wait_until(lambda: len(self.store.rows_of_table("members")) == 3, 5, "the members")
+
     def test_the_era_is_in_the_status_and_the_log(self):
         copy = self.store.take_copy()
         self.store.restore(copy)
