Gateway: Send nothing to a target that said that it leaves

A target that leaves may say so in its responses only: its entry stays ready, expires and returns, or is read from an older copy of the store. Instances went by the list alone and kept sending requests and load probes to it until it exited.

The header field Pomelospread-Leaving (the platform's name is set in platform/wire_format.cpp) is now read in every response of a target: to a request, a refusal, a load probe, also one that is skipped or cut short. Not in a 421, which another target sent. target_exclusions remembers the incarnation (id and started_unix_ms) apart from the list, so that no later list brings it back; another incarnation under the id is not affected. The choice, probes, capacity and admission leave such a target out, and its idle connections are closed. Load updates name it to the other homes of its pool; a load update of the earlier format is ignored, other datagrams are unchanged.

disable() keeps its scope: a 421 concerns the address, and a later list may correct it.

--- a/Libraries/Coordination/coordination/load_change_collector.hpp
+++ b/Libraries/Coordination/coordination/load_change_collector.hpp
@@ -17,6 +17,7 @@
     std::optional<load_report> report;
     std::chrono::steady_clock::time_point reported_at;
     std::uint32_t failures = 0;
+    std::optional<std::int64_t> leaving_incarnation; ///< Set when it said that it leaves.
 };
 
 /// Collects load changes by target. Not thread-safe.
@@ -36,6 +37,10 @@
         }
         change.failures += failed ? 1 : 0;
     }
+    /// A response of this incarnation of the target said that it leaves.
+    void record_leaving(std::string const& target, std::int64_t incarnation) {
+        m_changes[target].leaving_incarnation = incarnation;
+    }
     [[nodiscard]] bool empty() const noexcept { return m_changes.empty(); }
     /// Returns the collected changes and clears them.
     [[nodiscard]] std::map<std::string, load_change> take() { return std::exchange(m_changes, {}); }
--- a/Libraries/Coordination/coordination/target_selector.cpp
+++ b/Libraries/Coordination/coordination/target_selector.cpp
@@ -62,8 +62,12 @@
                 }
             }
         }
+        target_exclusions::incarnation_key const incarnation{listed.id, listed.started_unix_ms};
+        m_exclusions.record_listed(incarnation, now);
+        state.announced_leaving = m_exclusions.is_leaving(incarnation);
         next.emplace(listed.id, std::move(state));
     }
+    m_exclusions.drop_expired(now);
     m_targets = std::move(next);
     m_id_by_hash.clear();
     for (auto const& [id, state] : m_targets) {
@@ -218,6 +222,10 @@
     return state.failure_rate * decayed(now - state.failure_rate_updated_at, m_policy.failure_half_life);
 }
 
+bool target_selector::is_usable(target_state const& state) {
+    return !state.disabled && !state.listed.leaving && !state.announced_leaving;
+}
+
 target_selector::candidate_estimate
 target_selector::estimate_candidate(target_state const& state, pool_state const& pool, time_point now) const {
     auto const typical_ms = pool.typical_service_ms > 0 ? pool.typical_service_ms : default_service_ms;
@@ -262,8 +270,7 @@
     std::vector<candidate_estimate> estimates;
     estimates.reserve(pool.targets.size());
     for (auto const* target : pool.targets) {
-        if (!target->disabled && !target->listed.leaving &&
-            std::ranges::find(excluded, target->listed.id) == excluded.end()) {
+        if (is_usable(*target) && std::ranges::find(excluded, target->listed.id) == excluded.end()) {
             estimates.push_back(estimate_candidate(*target, pool, now));
         }
     }
@@ -432,6 +439,14 @@
     }
 }
 
+bool target_selector::record_leaving(std::string const& id, std::int64_t incarnation, time_point now) {
+    auto const found = m_targets.find(id);
+    if (found != m_targets.end() && found->second.listed.started_unix_ms == incarnation) {
+        found->second.announced_leaving = true;
+    }
+    return m_exclusions.record_leaving({id, incarnation}, now);
+}
+
 std::chrono::nanoseconds target_selector::typical_service_time(std::string_view pool) const {
     auto const found = m_pools.find(pool);
     if (found == m_pools.end()) {
@@ -445,14 +460,13 @@
     if (found == m_pools.end()) {
         return 0;
     }
-    return static_cast<std::size_t>(std::ranges::count_if(found->second.targets, [](auto const* target) {
-        return !target->disabled && !target->listed.leaving;
-    }));
+    return static_cast<std::size_t>(
+        std::ranges::count_if(found->second.targets, [](auto const* target) { return is_usable(*target); }));
 }
 
 bool target_selector::is_usable(std::string const& id) const {
     auto const found = m_targets.find(id);
-    return found != m_targets.end() && !found->second.disabled && !found->second.listed.leaving;
+    return found != m_targets.end() && is_usable(found->second);
 }
 
 } // namespace pomelospread
--- a/Libraries/Coordination/coordination/target_selector.hpp
+++ b/Libraries/Coordination/coordination/target_selector.hpp
@@ -4,6 +4,7 @@
 
 #include "base/random.hpp"
 #include "coordination/slot_claims.hpp"
+#include "coordination/target_exclusions.hpp"
 #include "coordination/target_list_cache.hpp"
 
 #include <chrono>
@@ -114,7 +115,7 @@
     target_selector(std::string own_zone, target_selector_policy policy);
 
     /// Applies a target list. A target of which the same incarnation is listed keeps its state; the state of
-    /// every other target is dropped.
+    /// every other target is dropped, except what `record_leaving` recorded.
     void set_targets(std::span<listed_target const> targets, time_point now);
 
     /// Sets the order in which this instance and the other homes of a pool use a target's last free slot.
@@ -142,9 +143,12 @@
     /// Applies a load report that this instance or another one received at `received`. A report that is older
     /// than the last one applied is ignored.
     void apply_load_report(std::string const& id, load_report const& value, time_point received);
-    /// The target is not the listed one, or it announced its stop: it gets no new request while this
-    /// incarnation of it stays listed.
+    /// Another target has the listed address: the target gets no new request while it stays listed there. A
+    /// listing at another address, or a later one, may be right, so it is not remembered longer.
     void disable(std::string const& id);
+    /// The incarnation said that it leaves: it gets no new request, whatever later lists say. Returns false
+    /// when that was known.
+    bool record_leaving(std::string const& id, std::int64_t incarnation, time_point now);
 
     /// A load probe returned no load report: counts as a failure of the target.
     void record_probe_failure(std::string const& id, time_point now);
@@ -180,6 +184,7 @@
         listed_target listed;
         time_point list_updated_at;
         bool disabled = false;
+        bool announced_leaving = false; ///< As in `m_exclusions`, without a look-up for each choice.
         std::uint32_t in_flight = 0;
         /// Requests in the report of `reported_at` that neither this instance nor the counts of other
         /// instances account for.
@@ -211,6 +216,7 @@
         double mean_slowdown = 1.5;
     };
 
+    [[nodiscard]] static bool is_usable(target_state const& state);
     [[nodiscard]] std::vector<candidate_estimate>
     estimate_candidates(pool_state const& pool, std::span<std::string const> excluded, time_point now) const;
     /// The best values of a pool, with which its targets are compared.
@@ -244,6 +250,7 @@
     std::string m_own_zone;
     target_selector_policy m_policy;
     std::map<std::string, target_state, std::less<>> m_targets;
+    target_exclusions m_exclusions;
     std::map<std::string, pool_state, std::less<>> m_pools;
     std::unordered_map<std::uint32_t, std::string> m_id_by_hash;
 };
--- a/Libraries/Gateway/gateway/fleet_messages.cpp
+++ b/Libraries/Gateway/gateway/fleet_messages.cpp
@@ -36,6 +36,11 @@
     archive(value.version, value.era, value.digest);
 }
 
+template<class Archive>
+void serialize(Archive& archive, leaving_target_update& value) {
+    archive(value.id, value.started_unix_ms);
+}
+
 template<class Archive>
 void serialize(Archive& archive, tables_state& value) {
     archive(value.tables, value.store_era, value.confirmed_age_ms);
@@ -56,6 +61,9 @@
         archive(value.tables);
     }
     archive(value.load_updates);
+    if (value.kind == datagram_kind::load_update) {
+        archive(value.leaving_targets);
+    }
 }
 
 template<class Archive>
--- a/Libraries/Gateway/gateway/fleet_messages.hpp
+++ b/Libraries/Gateway/gateway/fleet_messages.hpp
@@ -35,6 +35,12 @@
     std::uint8_t failures = 0;          ///< The sender's requests that failed there since its last update.
 };
 
+/// An incarnation of a target that said that it leaves.
+struct leaving_target_update {
+    std::string id;
+    std::int64_t started_unix_ms = 0;
+};
+
 /// Which routing tables an instance has. The operator's versions rise, but after the platform's store lost an
 /// edit, another one may have the same version in a later era.
 struct tables_identity {
@@ -77,6 +83,7 @@
     bool has_tables = false;
     tables_state tables;
     std::vector<target_load_update> load_updates;
+    std::vector<leaving_target_update> leaving_targets; ///< Sent only in a `load_update`.
 };
 
 /// The sender's tables, target list and members, for an instance that starts, possibly while the platform is
--- a/Libraries/Gateway/gateway/fleet_synchronizer.cpp
+++ b/Libraries/Gateway/gateway/fleet_synchronizer.cpp
@@ -3,6 +3,7 @@
 #include "base/log.hpp"
 #include "base/random.hpp"
 #include "gateway/target_list_updates.hpp"
+#include "gateway/target_notices.hpp"
 #include "protocol/platform_json_codec.hpp"
 
 #include <boost/fiber/operations.hpp>
@@ -396,7 +397,7 @@
     m_target_client.close_idle_connections_unless([&](std::string const& id, endpoint const& address) {
         auto const found = std::ranges::lower_bound(current.targets, id, {}, &listed_target::id);
         return found != current.targets.end() && found->id == id && found->address == address &&
-               !found->leaving;
+               m_state.selector.is_usable(id);
     });
     auto const leaving = std::ranges::count_if(current.targets, &listed_target::leaving);
     log_line(log_level::info, "targets_applied")
@@ -600,6 +601,7 @@
     if (!message.load_updates.empty()) {
         m_load_exchange.receive(message.load_updates, sender);
     }
+    apply_leaving_updates(m_state, m_target_client, message.leaving_targets, now);
 }
 
 void fleet_synchronizer::schedule_snapshot_fetch(endpoint const& sender, std::function<bool()> is_behind) {
--- a/Libraries/Gateway/gateway/forwarding_wire_format.hpp
+++ b/Libraries/Gateway/gateway/forwarding_wire_format.hpp
@@ -29,6 +29,8 @@
     std::string target_signature_header = "Pomelospread-Answered-By";
     std::string load_header = "Pomelospread-Load";
     std::string not_started_header{header::not_started};
+    /// A target states with the value 1 that it leaves.
+    std::string leaving_header{header::leaving};
     std::string retry_after_header = "Retry-After";
     std::string ready_path = "/.pomelospread/ready";
     std::string addresses_path{"/.pomelospread/addresses"};
--- a/Libraries/Gateway/gateway/load_exchange.cpp
+++ b/Libraries/Gateway/gateway/load_exchange.cpp
@@ -14,8 +14,23 @@
     return static_cast<std::uint16_t>(std::clamp(value, 0.0, 65535.0));
 }
 
+/// The bytes of an encoded `leaving_target_update`: the length of the id, the id and the incarnation.
+std::size_t encoded_size(leaving_target_update const& value) {
+    return 8 + value.id.size() + 8;
+}
+
 } // namespace
 
+void load_exchange::add_leaving_target(fleet_datagram& message, leaving_target_update target) {
+    auto size = encoded_size(target);
+    for (auto const& each : message.leaving_targets) {
+        size += encoded_size(each);
+    }
+    if (size <= max_leaving_bytes_per_datagram) {
+        message.leaving_targets.push_back(std::move(target));
+    }
+}
+
 double load_exchange::decaying_usage::value_at(time_point now) const {
     auto const age =
         std::chrono::duration<double>(now - updated_at) / std::chrono::duration<double>(usage_half_life);
@@ -60,6 +75,9 @@
                     datagrams.push_back({.kind = datagram_kind::load_update});
                 }
                 datagrams.back().load_updates.push_back(update);
+                if (change.leaving_incarnation) {
+                    add_leaving_target(datagrams.back(), {id, *change.leaving_incarnation});
+                }
             }
         }
     }
--- a/Libraries/Gateway/gateway/load_exchange.hpp
+++ b/Libraries/Gateway/gateway/load_exchange.hpp
@@ -1,5 +1,6 @@
 // Instances that send requests to the same pool send each other load updates: their requests in flight at its
-// targets and the targets' load reports. Each then chooses targets with the same information.
+// targets, the targets' load reports, and which of them said that they leave. Each then chooses targets with
+// the same information.
 #pragma once
 
 #include "coordination/membership.hpp"
@@ -49,7 +50,12 @@
     static constexpr auto usage_half_life = std::chrono::seconds(1);
     /// About two rounds a second; an instance with fewer requests does not affect the choice of others.
     static constexpr double min_usage_rounds = 2.5;
+    /// 900 bytes of a datagram, which has room for 1,400.
     static constexpr std::size_t max_updates_per_datagram = 60;
+    /// The leaving targets beyond it are not told; each further response of such a target adds it again.
+    static constexpr std::size_t max_leaving_bytes_per_datagram = 400;
+
+    static void add_leaving_target(fleet_datagram& message, leaving_target_update target);
 
     forwarding_state& m_state;
     home_directory const& m_homes;
--- a/Libraries/Gateway/gateway/load_prober.cpp
+++ b/Libraries/Gateway/gateway/load_prober.cpp
@@ -1,6 +1,7 @@
 #include "gateway/load_prober.hpp"
 
 #include "base/log.hpp"
+#include "gateway/target_notices.hpp"
 
 #include <algorithm>
 #include <memory>
@@ -85,6 +86,7 @@
             .field("reason", report.failure_reason)
             .write();
     }
+    apply_target_notice(m_state, m_target_client, {target.id, target.incarnation}, report.notice, now);
     m_probes_in_progress.erase(target.id);
     m_probe_finished.notify_all();
 }
--- a/Libraries/Gateway/gateway/load_prober.hpp
+++ b/Libraries/Gateway/gateway/load_prober.hpp
@@ -9,6 +9,7 @@
 #include <boost/fiber/mutex.hpp>
 
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <set>
 #include <span>
@@ -25,6 +26,7 @@
 
     struct probe_target {
         std::string id;
+        std::int64_t incarnation = 0;
         endpoint address;
     };
 
--- a/Libraries/Gateway/gateway/request_dispatcher.cpp
+++ b/Libraries/Gateway/gateway/request_dispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.hpp"
 #include "base/random.hpp"
+#include "gateway/target_notices.hpp"
 
 #include <boost/beast/http.hpp>
 #include <boost/fiber/condition_variable.hpp>
@@ -260,7 +261,7 @@
     for (auto const& each : m_state.selector.probe_candidates(
              request.pool, attempts.excluded_targets, m_state.settings.probed_candidates,
              m_state.settings.fresh_report_max_age, now, thread_random())) {
-        targets.push_back({.id = each.id, .address = each.address});
+        targets.push_back({.id = each.id, .incarnation = each.incarnation, .address = each.address});
     }
     if (!targets.empty()) {
         m_load_prober.probe_targets(targets, pool->health_path, now + max_probe_wait);
@@ -391,6 +392,7 @@
     if (report.wrong_target) {
         m_state.selector.disable(state.target);
     }
+    apply_target_notice(m_state, m_target_client, {state.target, state.incarnation}, report.notice, now);
     if (auto const* pool = m_state.selector.pool_of(state.target); pool != nullptr) {
         m_admission.grant_available_permits(*pool);
     }
--- a/Libraries/Gateway/gateway/target_client.cpp
+++ b/Libraries/Gateway/gateway/target_client.cpp
@@ -56,6 +56,7 @@
     beast::flat_buffer buffer{max_buffered_bytes};
     steady_time usable_until{};
     bool write_done = true;
+    target_notice notice; ///< Of the exchange in progress.
 };
 
 void target_client::exchange_handle::cancel() {
@@ -87,6 +88,11 @@
     return nullptr;
 }
 
+void target_client::close_idle_connections(std::string const& target_id) {
+    std::erase_if(m_idle_connections,
+                  [&target_id](auto const& entry) { return entry.first.first == target_id; });
+}
+
 exchange_report target_client::exchange(std::string const& target_id, endpoint const& address,
                                         std::shared_ptr<http_request const> const& request,
                                         steady_time deadline, exchange_handle& handle, exchange_kind kind) {
@@ -113,6 +119,7 @@
     handle.m_connection = target_connection;
     handle.m_sent = true;
     target_connection->write_done = false;
+    target_connection->notice = {};
     target_connection->stream.expires_at(deadline);
     // Writes concurrently with the read: a target may respond before it has read a long body.
     http::async_write(target_connection->stream, *request,
@@ -121,8 +128,9 @@
                       });
     bool reusable = false;
     auto report = read_response(*target_connection, *request, kind, reusable);
+    report.notice = target_connection->notice;
     handle.m_connection.reset();
-    if (!reusable || !target_connection->write_done || handle.m_cancelled) {
+    if (!reusable || report.notice.leaving || !target_connection->write_done || handle.m_cancelled) {
         target_connection->stream.close();
         return report;
     }
@@ -144,6 +152,9 @@
         parser.skip(request.method() == http::verb::head);
         boost::system::error_code error;
         read_message(target_connection.stream, target_connection.buffer, parser, error);
+        if (parser.is_header_done()) {
+            read_notice(parser.get(), target_connection.notice);
+        }
         if (error) {
             return {.outcome = exchange_outcome::incomplete,
                     .failure_reason = error == beast::error::timeout
@@ -182,6 +193,13 @@
     return {.outcome = exchange_outcome::incomplete, .failure_reason = "only responses to other requests"};
 }
 
+void target_client::read_notice(http_response const& response, target_notice& notice) const {
+    if (response.result_int() == 421) {
+        return; // Another target sent it.
+    }
+    notice.leaving = notice.leaving || header_field(response, m_wire_format.leaving_header) == "1";
+}
+
 exchange_report target_client::classify_response(http_response response, bool matches_request,
                                                  exchange_kind kind) const {
     exchange_report report;
--- a/Libraries/Gateway/gateway/target_client.hpp
+++ b/Libraries/Gateway/gateway/target_client.hpp
@@ -30,12 +30,18 @@
     incomplete,        ///< The request may have run, but no usable response arrived.
 };
 
+/// What the responses of one exchange state about the target's availability, whichever request they answer.
+struct target_notice {
+    bool leaving = false;
+};
+
 struct exchange_report {
     exchange_outcome outcome = exchange_outcome::incomplete;
     std::optional<http_response> response; ///< Set when `response_received`.
     std::string failure_reason;            ///< For the log; empty when a response was received.
     std::optional<load_report> target_load_report;
     bool wrong_target = false; ///< Status 421: another target has the address.
+    target_notice notice;
 };
 
 struct target_client_limits {
@@ -78,6 +84,8 @@
                              std::shared_ptr<http_request const> const& request, steady_time deadline,
                              exchange_handle& handle, exchange_kind kind = exchange_kind::request);
 
+    /// Closes the idle connections of the target.
+    void close_idle_connections(std::string const& target_id);
     /// Closes the idle connections of targets for which `should_keep(id, address)` returns false.
     template<class Predicate>
     void close_idle_connections_unless(Predicate should_keep) {
@@ -92,6 +100,7 @@
     [[nodiscard]] std::shared_ptr<connection> acquire_idle_connection(connection_key const& key);
     [[nodiscard]] exchange_report read_response(connection& target_connection, http_request const& request,
                                                 exchange_kind kind, bool& reusable);
+    void read_notice(http_response const& response, target_notice& notice) const;
     [[nodiscard]] exchange_report classify_response(http_response response, bool matches_request,
                                                     exchange_kind kind) const;
 
--- a/Tests/Coordination/test_target_selector.cpp
+++ b/Tests/Coordination/test_target_selector.cpp
@@ -117,6 +117,52 @@
     CHECK(selector.is_usable("a"));
 }
 
+TEST(target_selectors, incarnation_that_said_that_it_leaves_stays_excluded_when_its_entry_returns) {
+    auto restarted = target("a");
+    restarted.started_unix_ms = 7;
+    list({target("a"), target("b")});
+    CHECK(selector.record_leaving("a", 0, now));
+    CHECK_FALSE(selector.record_leaving("a", 0, now));
+    auto moved = target("a");
+    moved.address.port = 81;
+    for (auto const& entry : {target("a"), moved, restarted, target("a")}) {
+        list({target("b")});
+        now += target_exclusions::max_unlisted_age;
+        list({entry, target("b")});
+        bool const is_same = entry.started_unix_ms == 0;
+        CHECK_EQUAL(!is_same, selector.is_usable("a"));
+        LONGS_EQUAL(is_same ? 1 : 2, selector.usable_target_count("p"));
+        DOUBLES_EQUAL(is_same ? 4 : 8, selector.available_capacity("p", now), 0.01);
+        LONGS_EQUAL(is_same ? 1 : 2, selector.probe_candidates("p", {}, 3, 100ms, now, random).size());
+        CHECK_EQUAL(!is_same, count_choices(50)["a"] > 0);
+    }
+}
+
+TEST(target_selectors, notice_of_an_incarnation_that_is_not_listed_applies_once_it_is) {
+    list({target("a"), target("b")});
+    selector.record_leaving("a", 7, now);
+    selector.record_leaving("c", 0, now);
+    CHECK(selector.is_usable("a"));
+    auto restarted = target("a");
+    restarted.started_unix_ms = 7;
+    list({restarted, target("b"), target("c")});
+    LONGS_EQUAL(50, count_choices(50)["b"]);
+}
+
+TEST(target_selectors, leaving_incarnations_are_remembered_within_bounds) {
+    target_exclusions exclusions;
+    for (std::size_t i = 0; i < target_exclusions::max_incarnations; ++i) {
+        exclusions.record_leaving({"t", static_cast<std::int64_t>(i)}, now + std::chrono::milliseconds(i));
+    }
+    exclusions.record_listed({"t", 0}, now + 10s);
+    exclusions.record_leaving({"new", 0}, now + 11s);
+    LONGS_EQUAL(target_exclusions::max_incarnations, exclusions.size());
+    CHECK(exclusions.is_leaving({"t", 0}));
+    CHECK_FALSE(exclusions.is_leaving({"t", 1}));
+    exclusions.drop_expired(now + 10s + target_exclusions::max_unlisted_age);
+    LONGS_EQUAL(2, exclusions.size());
+}
+
 TEST(target_selectors, a_free_target_is_probed_also_while_a_full_one_has_a_fresh_report) {
     list({target("full"), target("free")});
     selector.apply_load_report("free", normal, now - 400ms);
--- a/Tests/Gateway/test_load_exchange.cpp
+++ b/Tests/Gateway/test_load_exchange.cpp
@@ -77,6 +77,27 @@
     DOUBLES_EQUAL(1, state.selector.available_capacity("p", now), 0.01);
 }
 
+TEST(load_exchange_updates, leaving_targets_are_told_within_the_size_of_a_datagram) {
+    routing_tables content{.version = 1};
+    content.pools.push_back({.name = "p"});
+    content.routes.push_back({.name = "r", .host = "a.example", .path_prefix = "/", .pool = "p"});
+    homes.refresh(route_index(content), members);
+    std::vector<listed_target> targets;
+    for (char c = 'a'; c <= 'z'; ++c) {
+        targets.push_back({.id = std::string(150, c), .pool = "p", .zone = "z", .started_unix_ms = 7});
+        state.pending_load_changes.record_leaving(targets.back().id, 7);
+    }
+    state.selector.set_targets(targets, std::chrono::steady_clock::now());
+    exchange.send_updates(members, 1);
+    CHECK_FALSE(sent.empty());
+    for (auto const& [address, message] : sent) {
+        auto const decoded = decode_datagram(encode_datagram(message));
+        LONGS_EQUAL(2, decoded.leaving_targets.size());
+        LONGS_EQUAL(7, decoded.leaving_targets.front().started_unix_ms);
+        CHECK(encode_datagram(message).size() <= 1400);
+    }
+}
+
 TEST(load_exchange_updates, a_round_with_many_changes_is_sent_completely) {
     constexpr std::size_t target_count = 150;
     std::vector<listed_target> targets;
--- a/Tests/Gateway/test_target_client.cpp
+++ b/Tests/Gateway/test_target_client.cpp
@@ -4,7 +4,9 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <map>
 #include <memory>
+#include <string>
 
 using namespace pomelospread;
 using namespace std::chrono_literals;
@@ -13,12 +15,20 @@
     io_thread thread{"test"};
     forwarding_wire_format wire_format;
     int executed_count = 0; // The thread changes it only while the test waits in run_and_wait.
+    struct {
+        unsigned status = 200;
+        std::map<std::string, std::string> fields;
+    } answered; // As above; what the target answers.
     http_server target{thread, {"127.0.0.1", 0}, http_limits{}, [this](http_request const& request) {
                            ++executed_count;
-                           auto response = make_response(200, "text/plain", "done");
+                           auto response = make_response(answered.status, "text/plain", "done");
                            set_header_field(response, wire_format.request_id_header,
                                             header_field(request, wire_format.request_id_header));
                            set_header_field(response, wire_format.target_signature_header, "s");
+                           set_header_field(response, wire_format.load_header, "1,0,8");
+                           for (auto const& [name, value] : answered.fields) {
+                               set_header_field(response, name, value);
+                           }
                            return response;
                        }};
     std::unique_ptr<target_client> client;
@@ -38,7 +48,8 @@
         thread.stop();
     }
 
-    exchange_report exchange(std::chrono::milliseconds time_left, target_client::exchange_handle & handle) {
+    exchange_report exchange(std::chrono::milliseconds time_left, target_client::exchange_handle & handle,
+                             exchange_kind kind = exchange_kind::request) {
         exchange_report report;
         thread.run_and_wait([&] {
             auto request = std::make_shared<http_request>(boost::beast::http::verb::post, "/", 11);
@@ -46,7 +57,7 @@
             set_header_field(*request, wire_format.request_id_header, "r1");
             request->prepare_payload();
             report = client->exchange("i-1", target.local_address(), request,
-                                      std::chrono::steady_clock::now() + time_left, handle);
+                                      std::chrono::steady_clock::now() + time_left, handle, kind);
         });
         return report;
     }
@@ -76,3 +87,30 @@
     CHECK_FALSE(late.is_sent());
     LONGS_EQUAL(1, executed_count);
 }
+
+TEST(target_client_exchange, each_kind_of_response_tells_that_the_target_leaves) {
+    struct {
+        unsigned status;
+        std::string value;
+        exchange_kind kind;
+        bool leaving;
+    } const cases[] = {
+        {200, "1", exchange_kind::request, true},    {503, "1", exchange_kind::request, true},
+        {200, "1", exchange_kind::load_probe, true}, {503, "1", exchange_kind::load_probe, true},
+        {421, "1", exchange_kind::request, false},   {200, "0", exchange_kind::request, false},
+        {200, "", exchange_kind::load_probe, false},
+    };
+    for (auto const& each : cases) {
+        answered = {each.status, {{wire_format.leaving_header, each.value}}};
+        if (each.status == 503) {
+            answered.fields[wire_format.not_started_header] = "1";
+        }
+        target_client::exchange_handle handle;
+        CHECK_EQUAL(each.leaving, exchange(2s, handle, each.kind).notice.leaving);
+        int idle_targets = 0;
+        thread.run_and_wait([&] {
+            client->close_idle_connections_unless([&](auto const&...) { return ++idle_targets == 0; });
+        });
+        LONGS_EQUAL(each.leaving ? 0 : 1, idle_targets);
+    }
+}
--- a/Tests/Processes/platform_stand_in.py
+++ b/Tests/Processes/platform_stand_in.py
@@ -156,6 +156,15 @@
             self.polls_generation += 1
             self.lock.notify_all()
 
+    def copy_state(self):
+        with self.lock:
+            return self.rows.copy(), self.version
+
+    def restore_state(self, state):
+        with self.lock:
+            rows, self.version = state
+            self.rows = rows.copy()
+
     def start_outage(self):
         with self.lock:
             self.down = True
@@ -216,21 +225,24 @@
         self.faults_enabled = faults_enabled
         self.executed_ids = []
         self.arrivals = []
+        self.health_check_times = []
         self.cancelled_ids = []
+        self.response_headers = ""  # Added to every response, also to those to health checks.
         super().__init__()
 
     def respond(self, connection, request_id, status="200 OK", extra_headers="", body=None):
         body = body or f"{self.name} {request_id}".encode()
         connection.sendall((f"HTTP/1.1 {status}\r\nRequest-Id: {request_id}\r\nServer-Signature: s.{self.name}\r\n"
-                            f"Backend-Load: 0,0,6,100\r\n{extra_headers}Content-Length: {len(body)}\r\n\r\n"
-                            ).encode() + body)
+                            f"Backend-Load: 0,0,6,100\r\n{self.response_headers}{extra_headers}"
+                            f"Content-Length: {len(body)}\r\n\r\n").encode() + body)
 
     def serve(self, connection, stream):
         while message := read_http_message(stream):
             (method, path, _), headers, body = message
             if path == "/health":
+                self.health_check_times.append(time.monotonic())
                 connection.sendall(f"HTTP/1.1 200 OK\r\nInstance-Id: {self.name}\r\nBackend-Load: 0,0,6,100\r\n"
-                                   "Content-Length: 0\r\n\r\n".encode())
+                                   f"{self.response_headers}Content-Length: 0\r\n\r\n".encode())
                 continue
             request_id = headers["request-id"]
             self.arrivals.append((request_id, time.monotonic()))
@@ -289,9 +301,9 @@
             "priority": 1, "max_attempts": 2, "service": service}
 
 
-def make_target_entry(target, service, state="ready"):
+def make_target_entry(target, service, state="ready", born=1700000000000):
     return {"service": service, "addr": target.address, "zone": "z", "version": "v1", "slots": 6, "state": state,
-            "warmup_left_s": 0, "seq": 1, "born": 1700000000000}
+            "warmup_left_s": 0, "seq": 1, "born": born}
 
 
 class ForwardingInstance:
--- a/Tests/Processes/test_forwarding.py
+++ b/Tests/Processes/test_forwarding.py
@@ -51,8 +51,13 @@
         # The kill may have truncated the last line.
         test_log_events.check_log_lines(lines[:-1])
 
-    def publish_target(self, target, service, state="ready"):
-        self.store.put("servers", target.name, make_target_entry(target, service, state))
+    def publish_target(self, target, service, state="ready", **fields):
+        self.store.put("servers", target.name, make_target_entry(target, service, state, **fields))
+
+    def send_reads_for(self, seconds):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            self.assertEqual(self.instance.send_request("/read/plain", f"n{time.monotonic_ns()}")[0], 200)
 
     def wait_until(self, condition, timeout=4):
         deadline = time.monotonic() + timeout
@@ -150,6 +155,37 @@
         self.store.cut_polls()
         self.wait_until(lambda: self.store.feed_calls > calls, 0.2)
 
+    def test_target_that_says_it_leaves_gets_nothing_whatever_the_store_lists(self):
+        older_state = self.store.copy_state()
+        self.faulty.response_headers = "Server-Leaving: 1\r\n"
+        self.wait_until(lambda: self.instance.send_request("/read/plain", f"d{time.monotonic_ns()}") and
+                        (self.faulty.arrivals or self.faulty.health_check_times))
+        time.sleep(0.2)
+        told_at = time.monotonic()
+        for change in (lambda: self.publish_target(self.faulty, "s"),
+                       lambda: self.store.remove("servers", "i-faulty"),
+                       lambda: self.publish_target(self.faulty, "s"),
+                       lambda: self.store.restore_state(older_state)):
+            change()
+            self.send_reads_for(1.3)
+        arrival_times = [at for _, at in self.faulty.arrivals] + self.faulty.health_check_times
+        self.assertEqual(sum(at > told_at for at in arrival_times), 0)
+        self.faulty.response_headers = ""
+        for _ in range(10):  # The restored store's version is behind the one that the instance knows.
+            self.publish_target(self.faulty, "s", born=1700000000001)
+        self.wait_until(lambda: self.instance.send_request("/read/plain", f"b{time.monotonic_ns()}") and
+                        self.faulty.arrivals[-1:] and self.faulty.arrivals[-1][1] > told_at)
+
+    def test_instance_without_requests_is_told_which_target_leaves(self):
+        other = self.start_instance("127.0.0.12", seeds="127.0.0.11:1")
+        other.wait_until_ready()
+        time.sleep(1)
+        self.faulty.response_headers = "Server-Leaving: 1\r\n"
+        self.wait_until(lambda: self.instance.send_request("/read/plain", f"d{time.monotonic_ns()}") and
+                        "event=target_leaving" in self.instance.log_path.read_text())
+        self.wait_until(lambda: "source=peer" in "".join(
+            line for line in other.log_path.read_text().splitlines() if "event=target_leaving" in line), 1)
+
     def test_new_manifest_takes_effect_and_invalid_ones_are_ignored(self):
         self.store.put("op", "config", make_manifest(4, [make_route("more", "safe", "s")], ["s"]))
         self.wait_until(lambda: self.instance.send_request("/more/plain", "m")[0] == 200, 2)
