Gateway: Send nothing to a target for as long as its Retry-After asks

A target that refuses a request (503 or 429) may say with Retry-After for how long it wants nothing. Instances did not read it: requests and load probes went on arriving at the target, each to be refused.

Until then the target is not chosen, not probed, and adds no capacity. Other values are logged as retry_after_ignored. Other instances are not told, since a target says it to each. While all usable targets of a pool are paused, a request that can start in time after the first pause waits for its permit; any other is refused at once, and its Retry-After tells the rest of that pause beside the usual jitter (pool_paused, counter refused_targets_paused). Waiting requests check this with each poll of the capacity, every 20 ms, which also finds the end of a pause. A retry is no longer started, nor paid from the budget, when no other target is usable: it would have been held until the pause of a target that it must not use again.

--- a/Libraries/Base/base/metrics.cpp
+++ b/Libraries/Base/base/metrics.cpp
@@ -59,7 +59,9 @@
     "load_update_bytes_other_zones",
     "snapshot_bytes_own_zone",
     "snapshot_bytes_other_zones",
-    "requests_without_route"};
+    "requests_without_route",
+
+    "refused_targets_paused"};
 
 void append_sample(std::string& text, std::string_view name, std::string_view suffix, std::string_view labels,
                    std::string const& value) {
--- a/Libraries/Base/base/metrics.hpp
+++ b/Libraries/Base/base/metrics.hpp
@@ -67,6 +67,7 @@
     snapshot_bytes_own_zone,
     snapshot_bytes_other_zones,
     requests_without_route,
+    refused_targets_paused,
     count,
 };
 
--- a/Libraries/Coordination/coordination/target_exclusions.hpp
+++ b/Libraries/Coordination/coordination/target_exclusions.hpp
@@ -10,9 +10,9 @@
 
 namespace pomelospread {
 
-/// Remembers the incarnations that get no requests because they said so. An older list, or an entry that was
-/// removed and is back, does not change this; another incarnation under the same id is not affected. Not
-/// thread-safe; time is passed in.
+/// Remembers the incarnations that get no requests, for good or for a time, because they said so. An older
+/// list, or an entry that was removed and is back, does not change this; another incarnation under the same
+/// id is not affected. Not thread-safe; time is passed in.
 class target_exclusions {
 public:
     using time_point = std::chrono::steady_clock::time_point;
@@ -28,9 +28,15 @@
     /// Returns false when the incarnation was known to leave.
     bool record_leaving(incarnation_key const& target, time_point now);
     [[nodiscard]] bool is_leaving(incarnation_key const& target) const;
+    /// The incarnation wants nothing before `until`. Of several such times the latest counts; returns false
+    /// when `until` is not later than the known one.
+    bool record_pause(incarnation_key const& target, time_point until, time_point now);
+    /// The end of the incarnation's last known pause; the epoch of the clock when it has none.
+    [[nodiscard]] time_point paused_until(incarnation_key const& target) const;
     /// The incarnation is in the current list: it is remembered for `max_unlisted_age` from now.
     void record_listed(incarnation_key const& target, time_point now);
-    /// Drops the incarnations that were not listed for `max_unlisted_age`.
+    /// Drops the incarnations whose pause is over and that do not leave or were not listed for
+    /// `max_unlisted_age`.
     void drop_expired(time_point now);
     [[nodiscard]] std::size_t size() const noexcept { return m_entries.size(); }
 
@@ -38,6 +44,7 @@
     struct entry {
         time_point last_listed_at;
         bool leaving = false;
+        time_point paused_until{};
     };
 
     [[nodiscard]] entry& find_or_add(incarnation_key const& target, time_point now);
--- a/Libraries/Coordination/coordination/target_selector.cpp
+++ b/Libraries/Coordination/coordination/target_selector.cpp
@@ -65,6 +65,7 @@
         target_exclusions::incarnation_key const incarnation{listed.id, listed.started_unix_ms};
         m_exclusions.record_listed(incarnation, now);
         state.announced_leaving = m_exclusions.is_leaving(incarnation);
+        state.paused_until = m_exclusions.paused_until(incarnation);
         next.emplace(listed.id, std::move(state));
     }
     m_exclusions.drop_expired(now);
@@ -226,6 +227,10 @@
     return !state.disabled && !state.listed.leaving && !state.announced_leaving;
 }
 
+bool target_selector::is_usable_at(target_state const& state, time_point now) {
+    return is_usable(state) && state.paused_until <= now;
+}
+
 target_selector::candidate_estimate
 target_selector::estimate_candidate(target_state const& state, pool_state const& pool, time_point now) const {
     auto const typical_ms = pool.typical_service_ms > 0 ? pool.typical_service_ms : default_service_ms;
@@ -270,7 +275,7 @@
     std::vector<candidate_estimate> estimates;
     estimates.reserve(pool.targets.size());
     for (auto const* target : pool.targets) {
-        if (is_usable(*target) && std::ranges::find(excluded, target->listed.id) == excluded.end()) {
+        if (is_usable_at(*target, now) && std::ranges::find(excluded, target->listed.id) == excluded.end()) {
             estimates.push_back(estimate_candidate(*target, pool, now));
         }
     }
@@ -447,6 +452,33 @@
     return m_exclusions.record_leaving({id, incarnation}, now);
 }
 
+bool target_selector::record_pause(std::string const& id, std::int64_t incarnation, time_point until,
+                                   time_point now) {
+    auto const found = m_targets.find(id);
+    if (found != m_targets.end() && found->second.listed.started_unix_ms == incarnation) {
+        found->second.paused_until = std::max(found->second.paused_until, until);
+    }
+    return m_exclusions.record_pause({id, incarnation}, until, now);
+}
+
+std::optional<target_selector::time_point> target_selector::paused_until(std::string_view pool,
+                                                                         time_point now) const {
+    auto const found = m_pools.find(pool);
+    std::optional<time_point> first;
+    if (found == m_pools.end()) {
+        return first;
+    }
+    for (auto const* target : found->second.targets) {
+        if (is_usable_at(*target, now)) {
+            return std::nullopt;
+        }
+        if (is_usable(*target)) {
+            first = std::min(first.value_or(target->paused_until), target->paused_until);
+        }
+    }
+    return first;
+}
+
 std::chrono::nanoseconds target_selector::typical_service_time(std::string_view pool) const {
     auto const found = m_pools.find(pool);
     if (found == m_pools.end()) {
@@ -455,13 +487,15 @@
     return std::chrono::nanoseconds(static_cast<std::int64_t>(found->second.typical_service_ms * 1e6));
 }
 
-std::size_t target_selector::usable_target_count(std::string_view pool) const {
+std::size_t target_selector::usable_target_count(std::string_view pool, std::span<std::string const> excluded,
+                                                 time_point now) const {
     auto const found = m_pools.find(pool);
     if (found == m_pools.end()) {
         return 0;
     }
-    return static_cast<std::size_t>(
-        std::ranges::count_if(found->second.targets, [](auto const* target) { return is_usable(*target); }));
+    return static_cast<std::size_t>(std::ranges::count_if(found->second.targets, [&](auto const* target) {
+        return is_usable_at(*target, now) && std::ranges::find(excluded, target->listed.id) == excluded.end();
+    }));
 }
 
 bool target_selector::is_usable(std::string const& id) const {
--- a/Libraries/Coordination/coordination/target_selector.hpp
+++ b/Libraries/Coordination/coordination/target_selector.hpp
@@ -115,7 +115,7 @@
     target_selector(std::string own_zone, target_selector_policy policy);
 
     /// Applies a target list. A target of which the same incarnation is listed keeps its state; the state of
-    /// every other target is dropped, except what `record_leaving` recorded.
+    /// every other target is dropped, except what `record_leaving` and `record_pause` recorded.
     void set_targets(std::span<listed_target const> targets, time_point now);
 
     /// Sets the order in which this instance and the other homes of a pool use a target's last free slot.
@@ -149,6 +149,11 @@
     /// The incarnation said that it leaves: it gets no new request, whatever later lists say. Returns false
     /// when that was known.
     bool record_leaving(std::string const& id, std::int64_t incarnation, time_point now);
+    /// The incarnation wants no request and no load probe before `until`; the latest such time counts.
+    /// Returns false when `until` is not later than the known one.
+    bool record_pause(std::string const& id, std::int64_t incarnation, time_point until, time_point now);
+    /// When the first of the pool's targets may receive a request again, if all usable ones are paused now.
+    [[nodiscard]] std::optional<time_point> paused_until(std::string_view pool, time_point now) const;
 
     /// A load probe returned no load report: counts as a failure of the target.
     void record_probe_failure(std::string const& id, time_point now);
@@ -170,8 +175,10 @@
     /// Mean time of the pool's requests until the response, with the slowdowns that they met; zero until a
     /// request was measured.
     [[nodiscard]] std::chrono::nanoseconds current_service_time(std::string_view pool) const;
-    /// Number of targets of the pool that may receive a request.
-    [[nodiscard]] std::size_t usable_target_count(std::string_view pool) const;
+    /// Number of targets of the pool, without those in `excluded`, that may receive a request now.
+    [[nodiscard]] std::size_t
+    usable_target_count(std::string_view pool, std::span<std::string const> excluded, time_point now) const;
+    /// Whether the target may receive requests, now or after a pause.
     [[nodiscard]] bool is_usable(std::string const& id) const;
 
 private:
@@ -184,7 +191,9 @@
         listed_target listed;
         time_point list_updated_at;
         bool disabled = false;
-        bool announced_leaving = false; ///< As in `m_exclusions`, without a look-up for each choice.
+        // As in `m_exclusions`, without a look-up for each choice.
+        bool announced_leaving = false;
+        time_point paused_until{};
         std::uint32_t in_flight = 0;
         /// Requests in the report of `reported_at` that neither this instance nor the counts of other
         /// instances account for.
@@ -217,6 +226,7 @@
     };
 
     [[nodiscard]] static bool is_usable(target_state const& state);
+    [[nodiscard]] static bool is_usable_at(target_state const& state, time_point now);
     [[nodiscard]] std::vector<candidate_estimate>
     estimate_candidates(pool_state const& pool, std::span<std::string const> excluded, time_point now) const;
     /// The best values of a pool, with which its targets are compared.
--- a/Libraries/Gateway/gateway/admission_controller.cpp
+++ b/Libraries/Gateway/gateway/admission_controller.cpp
@@ -24,6 +24,22 @@
     boost::fibers::condition_variable changed;
 };
 
+bool admission_controller::is_paused_too_long(admission_request const& request, steady_time now) const {
+    auto const paused_until = m_state.selector.paused_until(request.pool, now);
+    auto const& deadlines = request.deadlines;
+    if (!paused_until ||
+        *paused_until <= std::min(deadlines.soft_start_deadline, deadlines.hard_start_deadline)) {
+        return false;
+    }
+    log_line(log_level::info, "pool_paused")
+        .field("request", request.request_id)
+        .field("pool", request.pool)
+        .field("left_ms", std::chrono::ceil<milliseconds>(*paused_until - now).count())
+        .write();
+    m_state.counters.add(counter::refused_targets_paused);
+    return true;
+}
+
 bool admission_controller::acquire_permit(admission_request const& request, disconnect_notifier& notifier) {
     auto& admission = m_pools[request.pool];
     auto const now = std::chrono::steady_clock::now();
@@ -33,10 +49,20 @@
         ++admission.reserved_permits;
         return true;
     }
+    if (is_paused_too_long(request, now)) {
+        return false;
+    }
     auto const own_in_flight = std::max(1U, m_state.selector.own_pool_in_flight(request.pool));
     capacity_release_rate const release_rate{
         .release_interval = m_state.selector.current_service_time(request.pool) / own_in_flight};
-    auto const decision = admission.queue.decide(deadlines, release_rate, now);
+    // While all targets are paused no capacity is released; at the end of the first pause all of its
+    // target's capacity is available at once.
+    auto const start = m_state.selector.paused_until(request.pool, now).value_or(now);
+    auto const awaited_permits = admission.queue.size() + admission.reserved_permits + 1;
+    bool const is_pause_enough = start > now && m_state.selector.available_capacity(request.pool, start) >=
+                                                    static_cast<double>(awaited_permits);
+    auto const decision =
+        is_pause_enough ? admission_decision::wait : admission.queue.decide(deadlines, release_rate, start);
     auto const until_soft_deadline =
         std::chrono::duration_cast<milliseconds>(deadlines.soft_start_deadline - now);
     log_line(log_level::info, "no_place")
@@ -61,10 +87,12 @@
         auto const poll_time = std::chrono::steady_clock::now();
         bool const is_late = poll_time >= deadlines.soft_start_deadline;
         if (poll_time >= deadlines.hard_start_deadline ||
-            (is_late && admission.queue.has_on_time_waiter(poll_time))) {
+            (is_late && admission.queue.has_on_time_waiter(poll_time)) ||
+            is_paused_too_long(request, poll_time)) {
             break;
         }
-        // In-flight counts of other instances expire without an event, so available capacity is polled.
+        // In-flight counts of other instances expire and pauses of targets end without an event, so available
+        // capacity is polled.
         auto const next_poll = poll_time + capacity_poll_interval;
         queued->changed.wait_until(lock, std::min(next_poll, is_late ? deadlines.hard_start_deadline
                                                                      : deadlines.soft_start_deadline));
--- a/Libraries/Gateway/gateway/admission_controller.hpp
+++ b/Libraries/Gateway/gateway/admission_controller.hpp
@@ -44,6 +44,8 @@
 
 private:
     struct waiter;
+    /// Whether all targets of the pool want no request until it is too late for this one; logged if so.
+    [[nodiscard]] bool is_paused_too_long(admission_request const& request, steady_time now) const;
     struct pool_admission {
         admission_queue<std::shared_ptr<waiter>> queue;
         std::size_t reserved_permits = 0; ///< Granted to requests that are not in flight at a target yet.
--- a/Libraries/Gateway/gateway/forwarding_wire_format.cpp
+++ b/Libraries/Gateway/gateway/forwarding_wire_format.cpp
@@ -4,8 +4,10 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 
 namespace pomelospread {
 
@@ -32,6 +34,20 @@
                        .slowdown = static_cast<double>(std::max(1U, values[3])) / 100.0};
 }
 
+std::optional<std::chrono::nanoseconds>
+forwarding_wire_format::parse_retry_after(std::string_view text) const {
+    double seconds = 0;
+    auto const parsed =
+        std::from_chars(text.data(), text.data() + text.size(), seconds, std::chars_format::fixed);
+    bool const is_number = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
+    if (!is_number || !std::isfinite(seconds) || std::signbit(seconds)) {
+        return std::nullopt;
+    }
+    std::chrono::duration<double> const bounded(
+        std::min(seconds, std::chrono::duration<double>(max_retry_after).count()));
+    return std::chrono::duration_cast<std::chrono::nanoseconds>(bounded);
+}
+
 address_query forwarding_wire_format::parse_address_query(std::string_view target) const {
     return {.host = query_parameter(target, "host"), .zone = query_parameter(target, "zone")};
 }
--- a/Libraries/Gateway/gateway/forwarding_wire_format.hpp
+++ b/Libraries/Gateway/gateway/forwarding_wire_format.hpp
@@ -4,6 +4,7 @@
 #include "coordination/target_selector.hpp"
 #include "protocol/http_types.hpp"
 
+#include <chrono>
 #include <optional>
 #include <span>
 #include <string>
@@ -17,6 +18,9 @@
     std::string zone;
 };
 
+/// A target that asks for a longer pause is asked again after this time.
+constexpr auto max_retry_after = std::chrono::hours(24);
+
 /// The names and formats; the defaults are the product's own. An adapter may replace them.
 class forwarding_wire_format {
 public:
@@ -38,6 +42,10 @@
     /// Parses the load header field of a response: running, waiting, slots and optionally the slowdown in
     /// percent.
     [[nodiscard]] virtual std::optional<load_report> parse_load(std::string_view text) const;
+    /// Parses the time that a refusal asks to wait: seconds, which may have a fraction, at most
+    /// `max_retry_after`. Nothing when the text is no such number.
+    [[nodiscard]] virtual std::optional<std::chrono::nanoseconds>
+    parse_retry_after(std::string_view text) const;
     [[nodiscard]] virtual address_query parse_address_query(std::string_view target) const;
     [[nodiscard]] virtual http_response make_address_response(std::span<endpoint const> addresses,
                                                               std::chrono::milliseconds ttl) const;
--- a/Libraries/Gateway/gateway/request_dispatcher.cpp
+++ b/Libraries/Gateway/gateway/request_dispatcher.cpp
@@ -292,8 +292,8 @@
                 .field("request", request.id)
                 .field("pool", request.pool)
                 .field("purpose", purpose)
-                .field("usable",
-                       static_cast<std::uint64_t>(m_state.selector.usable_target_count(request.pool)))
+                .field("usable", static_cast<std::uint64_t>(
+                                     m_state.selector.usable_target_count(request.pool, {}, now)))
                 .write();
             m_admission.grant_available_permits(request.pool);
             return false;
@@ -414,7 +414,10 @@
     m_admission.record_arrival(request.pool, request.route_hash(), request.received);
     auto& budget = m_state.extra_attempts.budget_for(request.pool);
     if (!start_attempt(request, attempts, "first")) {
-        return finish_not_run(request, "no place at a target in time");
+        bool const is_paused =
+            m_state.selector.paused_until(request.pool, std::chrono::steady_clock::now()).has_value();
+        return finish_not_run(request,
+                              is_paused ? "every target asked for a pause" : "no place at a target in time");
     }
     auto const hedge_at = hedge_time(request);
     bool hedge_decided = !route.idempotent || route.max_attempts < 2;
@@ -460,7 +463,10 @@
             bool const within_limits =
                 attempts->sent_count() < route.max_attempts && attempts->states.size() < 8;
             bool started = false;
-            if (has_time && within_limits && (!was_sent || budget.try_withdraw())) {
+            // A retry waits for a permit, but not for targets to be usable again.
+            bool const has_other_target =
+                m_state.selector.usable_target_count(request.pool, attempts->excluded_targets, now) > 0;
+            if (has_time && within_limits && has_other_target && (!was_sent || budget.try_withdraw())) {
                 m_state.counters.add(counter::retries);
                 started = start_attempt(request, attempts, "retry");
             }
@@ -511,8 +517,13 @@
     auto response = make_response(503, "application/json",
                                   "{\"error\":\"not_run\",\"reason\":\"" + std::string(reason) + "\"}\n");
     auto const jitter = static_cast<double>(thread_random()() % 1000) / 1000.0;
-    auto text = std::to_string(min_retry_after_s + jitter * retry_after_jitter_s);
-    text.resize(5);
+    auto seconds = min_retry_after_s + jitter * retry_after_jitter_s;
+    auto const now = std::chrono::steady_clock::now();
+    if (auto const paused_until = m_state.selector.paused_until(request.pool, now)) {
+        seconds += std::chrono::duration<double>(*paused_until - now).count();
+    }
+    auto text = std::to_string(seconds);
+    text.resize(text.find('.') + 4);
     set_header_field(response, m_state.wire_format.retry_after_header, text);
     request.last_reason = reason;
     return finish_request(request, std::move(response), "not-run");
--- a/Libraries/Gateway/gateway/target_client.cpp
+++ b/Libraries/Gateway/gateway/target_client.cpp
@@ -11,6 +11,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <charconv>
 
 namespace pomelospread {
@@ -23,6 +24,8 @@
 
 /// How many interim (1xx) responses and responses to other requests are skipped before this request's own.
 constexpr int max_skipped_responses = 3;
+/// Of a header field's value that cannot be parsed.
+constexpr std::size_t max_logged_value_bytes = 64;
 
 /// The idle timeout that the target states as `timeout=` in the Keep-Alive header field.
 std::optional<std::chrono::milliseconds> parse_keep_alive_timeout(http_response const& response) {
@@ -198,6 +201,16 @@
         return; // Another target sent it.
     }
     notice.leaving = notice.leaving || header_field(response, m_wire_format.leaving_header) == "1";
+    auto const retry_after = header_field(response, m_wire_format.retry_after_header);
+    bool const is_refusal = response.result_int() == 503 || response.result_int() == 429;
+    if (!is_refusal || retry_after.empty()) {
+        return;
+    }
+    if (auto const pause = m_wire_format.parse_retry_after(retry_after)) {
+        notice.retry_after = std::max(notice.retry_after.value_or(*pause), *pause);
+    } else {
+        notice.invalid_retry_after = retry_after.substr(0, max_logged_value_bytes);
+    }
 }
 
 exchange_report target_client::classify_response(http_response response, bool matches_request,
--- a/Libraries/Gateway/gateway/target_client.hpp
+++ b/Libraries/Gateway/gateway/target_client.hpp
@@ -33,6 +33,9 @@
 /// What the responses of one exchange state about the target's availability, whichever request they answer.
 struct target_notice {
     bool leaving = false;
+    /// A refusal (503 or 429) asked for no request during this time from its arrival.
+    std::optional<std::chrono::nanoseconds> retry_after;
+    std::string invalid_retry_after; ///< The beginning of a value that states no such time; empty for none.
 };
 
 struct exchange_report {
--- a/Libraries/Gateway/gateway/target_notices.cpp
+++ b/Libraries/Gateway/gateway/target_notices.cpp
@@ -33,6 +33,21 @@
         record_leaving(state, target, "response", now);
         state.pending_load_changes.record_leaving(target.id, target.started_unix_ms);
     }
+    if (notice.retry_after && notice.retry_after->count() > 0 &&
+        state.selector.record_pause(target.id, target.started_unix_ms, now + *notice.retry_after, now)) {
+        log_line(log_level::info, "target_paused")
+            .field("target", target.id)
+            .field("started_unix_ms", target.started_unix_ms)
+            .field("pause_ms",
+                   std::chrono::duration_cast<std::chrono::milliseconds>(*notice.retry_after).count())
+            .write();
+    }
+    if (!notice.invalid_retry_after.empty()) {
+        log_line(log_level::warning, "retry_after_ignored")
+            .field("target", target.id)
+            .field("reason", "not a number of seconds: " + notice.invalid_retry_after)
+            .write();
+    }
     // Also the connection of this exchange, when another response said so meanwhile.
     close_unused_connections(state, client, target.id);
 }
--- a/Libraries/Gateway/gateway/target_notices.hpp
+++ b/Libraries/Gateway/gateway/target_notices.hpp
@@ -16,7 +16,8 @@
 };
 
 /// Applies the notice of an exchange. A target that leaves gets no further request from this instance, its
-/// idle connections are closed, and the other instances are told with the next load update.
+/// idle connections are closed, and the other instances are told with the next load update. A target that
+/// asked for a pause gets none until its end; that concerns this instance alone.
 void apply_target_notice(forwarding_state& state, target_client& client, target_incarnation const& target,
                          target_notice const& notice, steady_time now);
 
--- a/Tests/Coordination/test_target_selector.cpp
+++ b/Tests/Coordination/test_target_selector.cpp
@@ -103,7 +103,7 @@
     list({leaving, target("b"), target("c")});
     selector.disable("b");
     LONGS_EQUAL(50, count_choices(50)["c"]);
-    LONGS_EQUAL(1, selector.usable_target_count("p"));
+    LONGS_EQUAL(1, selector.usable_target_count("p", {}, now));
 }
 
 TEST(target_selectors, new_incarnation_under_the_same_id_starts_without_state) {
@@ -131,13 +131,53 @@
         list({entry, target("b")});
         bool const is_same = entry.started_unix_ms == 0;
         CHECK_EQUAL(!is_same, selector.is_usable("a"));
-        LONGS_EQUAL(is_same ? 1 : 2, selector.usable_target_count("p"));
+        LONGS_EQUAL(is_same ? 1 : 2, selector.usable_target_count("p", {}, now));
         DOUBLES_EQUAL(is_same ? 4 : 8, selector.available_capacity("p", now), 0.01);
         LONGS_EQUAL(is_same ? 1 : 2, selector.probe_candidates("p", {}, 3, 100ms, now, random).size());
         CHECK_EQUAL(!is_same, count_choices(50)["a"] > 0);
     }
 }
 
+TEST(target_selectors, paused_incarnation_is_excluded_until_the_latest_stated_end) {
+    auto restarted = target("a");
+    restarted.started_unix_ms = 7;
+    list({target("a"), target("b")});
+    CHECK(selector.record_pause("a", 0, now + 2s, now));
+    CHECK_FALSE(selector.record_pause("a", 0, now + 1s, now));
+    struct {
+        std::chrono::milliseconds after;
+        listed_target entry;
+        bool usable;
+    } const cases[] = {{0s, target("a"), false},
+                       {1s, restarted, true},
+                       {1999ms, target("a"), false},
+                       {2s, target("a"), true}};
+    auto const start = now;
+    for (auto const& each : cases) {
+        now = start + each.after;
+        list({target("b")});
+        list({each.entry, target("b")});
+        LONGS_EQUAL(each.usable ? 2 : 1, selector.usable_target_count("p", {}, now));
+        DOUBLES_EQUAL(each.usable ? 8 : 4, selector.available_capacity("p", now), 0.01);
+        LONGS_EQUAL(each.usable ? 2 : 1, selector.probe_candidates("p", {}, 3, 100ms, now, random).size());
+        CHECK_EQUAL(each.usable, count_choices(50)["a"] > 0);
+    }
+}
+
+TEST(target_selectors, pool_is_paused_until_the_first_of_its_usable_targets_is_not) {
+    auto leaving = target("c");
+    leaving.leaving = true;
+    list({target("a"), target("b"), leaving});
+    selector.record_pause("a", 0, now + 3s, now);
+    CHECK_FALSE(selector.paused_until("p", now).has_value());
+    selector.record_pause("b", 0, now + 2s, now);
+    CHECK(selector.paused_until("p", now) == now + 2s);
+    CHECK_FALSE(selector.choose("p", {}, now, random).has_value());
+    CHECK_FALSE(selector.paused_until("p", now + 2s).has_value());
+    selector.record_leaving("b", 0, now);
+    CHECK(selector.paused_until("p", now) == now + 3s);
+}
+
 TEST(target_selectors, notice_of_an_incarnation_that_is_not_listed_applies_once_it_is) {
     list({target("a"), target("b")});
     selector.record_leaving("a", 7, now);
--- a/Tests/Gateway/test_target_client.cpp
+++ b/Tests/Gateway/test_target_client.cpp
@@ -114,3 +114,34 @@
         LONGS_EQUAL(each.leaving ? 0 : 1, idle_targets);
     }
 }
+
+TEST(target_client_exchange, refusal_tells_for_how_long_the_target_wants_no_request) {
+    struct {
+        unsigned status;
+        std::string value;
+        exchange_kind kind;
+        std::optional<std::chrono::nanoseconds> pause;
+        std::string invalid;
+    } const cases[] = {
+        {503, "1", exchange_kind::request, 1s, ""},
+        {429, "0.25", exchange_kind::request, 250ms, ""},
+        {503, "2", exchange_kind::load_probe, 2s, ""},
+        {503, "99999999999999999999", exchange_kind::request, max_retry_after, ""},
+        {503, "0", exchange_kind::request, 0s, ""},
+        {200, "1", exchange_kind::request, {}, ""},
+        {421, "1", exchange_kind::request, {}, ""},
+        {503, "-1", exchange_kind::request, {}, "-1"},
+        {503, "inf", exchange_kind::request, {}, "inf"},
+        {503, "nan", exchange_kind::load_probe, {}, "nan"},
+        {503, "1 s", exchange_kind::request, {}, "1 s"},
+        {503, std::string(400, '9'), exchange_kind::request, {}, std::string(64, '9')},
+    };
+    for (auto const& each : cases) {
+        answered = {each.status,
+                    {{wire_format.retry_after_header, each.value}, {wire_format.not_started_header, "1"}}};
+        target_client::exchange_handle handle;
+        auto const notice = exchange(2s, handle, each.kind).notice;
+        CHECK_TEXT(each.pause == notice.retry_after, each.value.c_str());
+        STRCMP_EQUAL(each.invalid.c_str(), notice.invalid_retry_after.c_str());
+    }
+}
--- a/Tests/Processes/platform_stand_in.py
+++ b/Tests/Processes/platform_stand_in.py
@@ -226,7 +226,9 @@
         self.executed_ids = []
         self.arrivals = []
         self.health_check_times = []
+        self.refusal_times = []
         self.cancelled_ids = []
+        self.retry_after = None  # While it is set, everything is refused with this Retry-After.
         self.response_headers = ""  # Added to every response, also to those to health checks.
         super().__init__()
 
@@ -245,6 +247,11 @@
                                    f"{self.response_headers}Content-Length: 0\r\n\r\n".encode())
                 continue
             request_id = headers["request-id"]
+            if self.retry_after:
+                self.refusal_times.append(time.monotonic())
+                self.respond(connection, request_id, "503 Full",
+                             f"Not-Executed: 1\r\nRetry-After: {self.retry_after}\r\n")
+                continue
             self.arrivals.append((request_id, time.monotonic()))
             if headers["expect-instance"] != self.name:
                 connection.sendall(b"HTTP/1.1 421 M\r\nInstance-Id: x\r\nContent-Length: 0\r\n\r\n")
--- a/Tests/Processes/test_forwarding.py
+++ b/Tests/Processes/test_forwarding.py
@@ -186,6 +186,39 @@
         self.wait_until(lambda: "source=peer" in "".join(
             line for line in other.log_path.read_text().splitlines() if "event=target_leaving" in line), 1)
 
+    def test_target_that_refuses_with_retry_after_gets_nothing_until_its_end(self):
+        for target, path, own_status in ((self.only_target, "/write/plain", 503), (self.faulty, "/read/plain", 200)):
+            target.retry_after = "1.5"
+            self.wait_until(lambda: self.instance.send_request(path, f"u{time.monotonic_ns()}") and
+                            target.refusal_times)
+            end = target.refusal_times[-1] + 1.5
+            target.retry_after = None
+            while time.monotonic() < end - 0.4:
+                started = time.monotonic()
+                status, headers, _ = self.instance.send_request(path, f"p{time.monotonic_ns()}", deadline_ms=300)
+                self.assertEqual(status, own_status)
+                if status == 503:
+                    # The response is immediate and tells the rest of the pause.
+                    self.assertLess(time.monotonic() - started, 0.2)
+                    self.assertLess(abs(started + float(headers["retry-after"]) - end - 0.125), 0.125 + 0.2)
+            # These can wait for the end of the pause within their target latency.
+            for _ in range(3):
+                self.assertEqual(self.instance.send_request(path, f"w{time.monotonic_ns()}")[0], 200)
+            times = [at for _, at in target.arrivals] + target.health_check_times + target.refusal_times
+            self.assertEqual(sum(end - 1 < at < end for at in times), 0)
+        self.assertLess(self.only_target.arrivals[0][1], self.only_target.refusal_times[-1] + 1.5 + 0.3)
+
+    def test_request_that_its_only_target_refuses_with_retry_after_is_not_held(self):
+        self.only_target.retry_after = "0.6"
+        started = time.monotonic()
+        status, headers, _ = self.instance.send_request("/write/plain", "h1", "POST", b"x")
+        self.assertLess(time.monotonic() - started, 0.4)
+        self.assertEqual(status, 503)
+        self.assertLess(abs(float(headers["retry-after"]) - 0.65), 0.2)
+        self.only_target.retry_after = None
+        self.assertEqual(self.instance.send_request("/write/plain", "h2", "POST", b"x")[0], 200)
+        self.assertGreater(time.monotonic() - started, 0.6)
+
     def test_new_manifest_takes_effect_and_invalid_ones_are_ignored(self):
         self.store.put("op", "config", make_manifest(4, [make_route("more", "safe", "s")], ["s"]))
         self.wait_until(lambda: self.instance.send_request("/more/plain", "m")[0] == 200, 2)
