Protocol: Reject a response with a transfer coding other than "chunked"

A response with "Transfer-Encoding: gzip", or with "chunked" and another coding, was taken for a complete one. Its coded or still chunked bytes went to the caller as the body with a length of their own, since Transfer-Encoding is not forwarded, and a stated length was believed beside the coding. Beast's parser recognizes "chunked" as the last coding only and passes over every other one. The header is now rejected in the one function that reads it, for targets, peers and the platform.

Two lengths, a length beside chunks and a status of one, two or four digits are rejected by the parser.

--- a/Libraries/Protocol/protocol/message_reading.hpp
+++ b/Libraries/Protocol/protocol/message_reading.hpp
@@ -4,11 +4,31 @@
 #include "transport/use_fiber.hpp"
 
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <iterator>
+
 namespace pomelospread {
 
+/// Reads the header of the parser's message; `error` tells how it ended. Suspends the calling fiber. A
+/// transfer coding other than "chunked" is an error: the parser would pass the coded bytes on as the body.
+template<class Parser>
+void read_header(boost::beast::tcp_stream& stream, boost::beast::flat_buffer& buffer, Parser& parser,
+                 boost::system::error_code& error) {
+    error = {};
+    boost::beast::http::async_read_header(stream, buffer, parser, use_fiber(error));
+    if (error) {
+        return;
+    }
+    auto const [first, last] = parser.get().equal_range(boost::beast::http::field::transfer_encoding);
+    if (first != last && (std::next(first) != last || !boost::beast::iequals(first->value(), "chunked"))) {
+        error = boost::beast::http::error::bad_transfer_encoding;
+    }
+}
+
 /// Reads the rest of the parser's message; `error` tells how it ended. Suspends the calling fiber. The header
 /// is read by itself: when bytes of the body arrive with it, the parser of Boost 1.74 passes over a stated
 /// length beyond its limit, and a body reader then reserves that length.
@@ -17,7 +37,7 @@
                   boost::system::error_code& error) {
     error = {};
     if (!parser.is_header_done()) {
-        boost::beast::http::async_read_header(stream, buffer, parser, use_fiber(error));
+        read_header(stream, buffer, parser, error);
     }
     if (!error && !parser.is_done()) {
         boost::beast::http::async_read(stream, buffer, parser, use_fiber(error));
--- a/Tests/Processes/platform_stand_in.py
+++ b/Tests/Processes/platform_stand_in.py
@@ -281,6 +281,9 @@
                 connection.sendall(f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\nServer-Signature: s\r\n"
                                    "Content-Length: 1000\r\n\r\npart".encode())
                 return
+            if behaviour == "cuthead":
+                connection.sendall(f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\nServer-Signature: s\r\n".encode())
+                return
             if behaviour == "unmarked":
                 connection.sendall(f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\n"
                                    "Content-Length: 2\r\n\r\nno".encode())
--- a/Tests/Processes/test_forwarding.py
+++ b/Tests/Processes/test_forwarding.py
@@ -86,7 +86,7 @@
         self.assertLess(time.monotonic() - started, 0.9)
 
     def test_unsafe_request_that_may_have_run_is_not_retried(self):
-        for fault in ("die", "cut", "unmarked"):
+        for fault in ("die", "cut", "cuthead", "unmarked"):
             status, headers, _ = self.instance.send_request(f"/both/{fault}", f"b-{fault}", "POST", b"x")
             self.assertIn(status, (200, 502))
             self.assertNotIn("retry-after", headers)
