Gateway, Entry: Take no copy of a refusal for that of another attempt

The client of the product's own interface had the same fault as the gateway's: a second copy of a refusal on a kept connection was taken for the refusal of the next attempt, which may run at a second target although it is not idempotent. A refusal without an id now ends its connection there too.

A refusal that bears an id was also taken for that of a later attempt with the same id on the connection. The own interface sends all attempts of a request under one id and may return to a target that refused it two attempts earlier; callers of the gateway may reuse an id. A connection now keeps the hashes of the ids that were refused on it and carries no further attempt with one of them.

The test's target moved to Tests/repeating_target.hpp.

--- a/Libraries/Entry/entry/target_http_client.cpp
+++ b/Libraries/Entry/entry/target_http_client.cpp
@@ -29,7 +29,11 @@
                                              bool idempotent, steady_time deadline, std::size_t max_idle,
                                              cancel_handle& handle) {
     m_metrics.add(counter::target_exchanges);
+    auto const request_id = header_field(request, header::request_id);
     auto connection = m_connections.acquire_idle(target);
+    while (connection != nullptr && connection->refused_ids().contains(request_id)) {
+        connection = m_connections.acquire_idle(target);
+    }
     bool const is_new_connection = connection == nullptr;
     if (is_new_connection) {
         try {
@@ -61,6 +65,12 @@
                   .detail = "the answer is another request's"};
     }
     if (result.status == attempt_status::response_received && is_shed(*result.response)) {
+        // A second copy of a refusal without an id could not be told from the refusal of the next request.
+        bool const is_named = !header_field(*result.response, header::request_id).empty();
+        connection->refused_ids().add(request_id);
+        if (!is_named || connection->refused_ids().is_full()) {
+            connection->close();
+        }
         result = {.status = attempt_status::not_started,
                   .failure = attempt_failure::shed,
                   .detail = "shed by the target"};
--- a/Libraries/Gateway/gateway/target_client.cpp
+++ b/Libraries/Gateway/gateway/target_client.cpp
@@ -1,6 +1,7 @@
 #include "gateway/target_client.hpp"
 
 #include "protocol/message_reading.hpp"
+#include "protocol/refused_request_ids.hpp"
 #include "transport/listener.hpp"
 #include "transport/socket_options.hpp"
 #include "transport/use_fiber.hpp"
@@ -57,6 +58,7 @@
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer{max_buffered_bytes};
+    refused_request_ids refused_ids;
     steady_time usable_until{};
     bool write_done = true;
     target_notice notice; ///< Of the exchange in progress.
@@ -75,7 +77,8 @@
 
 target_client::~target_client() = default;
 
-std::shared_ptr<target_client::connection> target_client::acquire_idle_connection(connection_key const& key) {
+std::shared_ptr<target_client::connection>
+target_client::acquire_idle_connection(connection_key const& key, std::string_view request_id) {
     auto const found = m_idle_connections.find(key);
     if (found == m_idle_connections.end()) {
         return nullptr;
@@ -84,7 +87,8 @@
     while (!found->second.empty()) {
         auto target_connection = std::move(found->second.back());
         found->second.pop_back();
-        if (target_connection->usable_until > now && target_connection->is_reusable()) {
+        if (target_connection->usable_until > now && target_connection->is_reusable() &&
+            !target_connection->refused_ids.contains(request_id)) {
             return target_connection;
         }
     }
@@ -105,7 +109,8 @@
         return {.outcome = exchange_outcome::not_sent,
                 .failure_reason = handle.m_cancelled ? "cancelled" : "no time left"};
     }
-    auto target_connection = acquire_idle_connection({target_id, address});
+    auto target_connection = acquire_idle_connection({target_id, address},
+                                                     header_field(*request, m_wire_format.request_id_header));
     if (target_connection == nullptr) {
         target_connection = std::make_shared<connection>(m_io);
         handle.m_connection = target_connection;
@@ -195,9 +200,13 @@
                     .failure_reason = "a response without an id behind one to another request"};
         }
         auto report = classify_response(std::move(response), matches_request, kind);
+        if (report.outcome == exchange_outcome::not_executed && is_named) {
+            target_connection.refused_ids.add(request_id);
+        }
         // A second copy of a refusal without an id could not be told from the refusal of the next request.
         if (report.outcome == exchange_outcome::incomplete ||
-            (report.outcome == exchange_outcome::not_executed && !is_named)) {
+            (report.outcome == exchange_outcome::not_executed && !is_named) ||
+            target_connection.refused_ids.is_full()) {
             reusable = false;
         }
         return report;
--- a/Libraries/Gateway/gateway/target_client.hpp
+++ b/Libraries/Gateway/gateway/target_client.hpp
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace pomelospread {
@@ -100,7 +101,9 @@
     /// Target id and address; a target may return under its id at another address.
     using connection_key = std::pair<std::string, endpoint>;
 
-    [[nodiscard]] std::shared_ptr<connection> acquire_idle_connection(connection_key const& key);
+    /// A connection on which no attempt with this request id was refused, or nullptr.
+    [[nodiscard]] std::shared_ptr<connection> acquire_idle_connection(connection_key const& key,
+                                                                      std::string_view request_id);
     [[nodiscard]] exchange_report read_response(connection& target_connection, http_request const& request,
                                                 exchange_kind kind, bool& reusable);
     void read_notice(http_response const& response, target_notice& notice) const;
--- a/Libraries/Protocol/protocol/http_connection.hpp
+++ b/Libraries/Protocol/protocol/http_connection.hpp
@@ -5,6 +5,7 @@
 #include "base/endpoint.hpp"
 #include "base/errors.hpp"
 #include "protocol/http_types.hpp"
+#include "protocol/refused_request_ids.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -49,6 +50,8 @@
     /// False when the other end closed the connection or sent bytes that no request asked for.
     [[nodiscard]] bool is_open_and_idle();
     [[nodiscard]] steady_time last_used() const noexcept { return m_last_used; }
+    /// Kept by those who send requests with an id.
+    [[nodiscard]] refused_request_ids& refused_ids() noexcept { return m_refused_ids; }
     [[nodiscard]] std::size_t bytes_written() const noexcept { return m_bytes_written; }
 
     /// Closes the connection, which makes an exchange in progress fail; call from the owning thread.
@@ -64,6 +67,7 @@
 
     boost::beast::tcp_stream m_stream;
     boost::beast::flat_buffer m_read_buffer{max_buffered_bytes};
+    refused_request_ids m_refused_ids;
     bool m_reusable = false;
     std::size_t m_bytes_written = 0;
     steady_time m_last_used;
--- a/Tests/Gateway/test_late_responses.cpp
+++ b/Tests/Gateway/test_late_responses.cpp
@@ -1,112 +1,17 @@
 #include "gateway/target_client.hpp"
+#include "protocol/refused_request_ids.hpp"
+#include "repeating_target.hpp"
 #include "transport/io_thread.hpp"
 
 #include <CppUTest/TestHarness.h>
 
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/write.hpp>
-
-#include <sys/socket.h>
-
-#include <atomic>
 #include <memory>
-#include <optional>
 #include <string>
 #include <thread>
-#include <vector>
 
 using namespace pomelospread;
 using namespace std::chrono_literals;
 
-namespace {
-
-namespace asio = boost::asio;
-
-/// When a target sends the copy of an earlier response of the same connection.
-enum class copy_time : std::uint8_t {
-    after_the_response,      ///< 20 ms after it, before the next request.
-    with_the_next_request,   ///< As soon as the next request arrived, before its response.
-    during_the_next_request, ///< 50 ms after the next request arrived, before its response.
-};
-
-/// A target that sends the n-th of `responses` when it has read the n-th request of all its connections, and
-/// the response number `copied`, by default the previous one, once more on the connection that it was sent
-/// on.
-class repeating_target {
-public:
-    explicit repeating_target(std::vector<std::string> responses,
-                              copy_time time = copy_time::with_the_next_request,
-                              std::optional<std::size_t> copied = std::nullopt)
-        : m_acceptor(m_io, {asio::ip::address_v4::loopback(), 0}), m_copy_time(time), m_copied(copied),
-          m_thread([this, responses = std::move(responses)] { serve(responses); }) {}
-    ~repeating_target() {
-        ::shutdown(m_acceptor.native_handle(), SHUT_RDWR);
-        ::shutdown(m_socket_handle, SHUT_RDWR);
-        m_thread.join();
-    }
-
-    [[nodiscard]] endpoint address() const { return {"127.0.0.1", m_acceptor.local_endpoint().port()}; }
-    [[nodiscard]] std::size_t connection_count() const { return m_connection_count; }
-
-private:
-    void serve(std::vector<std::string> const& responses) {
-        boost::system::error_code error;
-        std::size_t next = 0;
-        while (next < responses.size()) {
-            asio::ip::tcp::socket socket(m_io);
-            m_acceptor.accept(socket, error);
-            if (error) {
-                return;
-            }
-            m_socket_handle = socket.native_handle();
-            ++m_connection_count;
-            auto const first = next;
-            std::string unread;
-            while (true) {
-                auto const length = asio::read_until(socket, asio::dynamic_buffer(unread), "\r\n\r\n", error);
-                if (error || next == responses.size()) {
-                    m_socket_handle = -1;
-                    break; // The client closed.
-                }
-                unread.erase(0, length);
-                auto const copied = m_copied.value_or(next - 1);
-                if (m_copy_time != copy_time::after_the_response && copied >= first && copied < next) {
-                    std::this_thread::sleep_for(m_copy_time == copy_time::during_the_next_request ? 50ms
-                                                                                                  : 0ms);
-                    asio::write(socket, asio::buffer(responses[copied]), error);
-                    std::this_thread::sleep_for(20ms); // The copy arrives by itself.
-                }
-                asio::write(socket, asio::buffer(responses[next]), error);
-                ++next;
-                if (m_copy_time == copy_time::after_the_response && m_copied.value_or(next - 1) == next - 1) {
-                    std::this_thread::sleep_for(20ms);
-                    asio::write(socket, asio::buffer(responses[next - 1]), error);
-                }
-            }
-        }
-    }
-
-    asio::io_context m_io{1};
-    asio::ip::tcp::acceptor m_acceptor;
-    copy_time m_copy_time;
-    std::optional<std::size_t> m_copied;
-    std::atomic<std::size_t> m_connection_count{0};
-    std::atomic<int> m_socket_handle{-1};
-    std::thread m_thread;
-};
-
-constexpr copy_time copy_times[] = {copy_time::after_the_response, copy_time::with_the_next_request,
-                                    copy_time::during_the_next_request};
-
-std::string response_with(std::string const& header_fields, std::string const& body,
-                          std::string const& status = "200 OK") {
-    return "HTTP/1.1 " + status + "\r\n" + header_fields + "Content-Length: " + std::to_string(body.size()) +
-           "\r\n\r\n" + body;
-}
-
-} // namespace
-
 TEST_GROUP(late_response_exchange) {
     io_thread thread{"test"};
     forwarding_wire_format wire_format;
@@ -226,3 +131,24 @@
     STRCMP_EQUAL("for r1", body_for(target.address(), "r1").c_str());
     CHECK(exchange(target.address(), "r2").outcome == exchange_outcome::incomplete);
 }
+
+TEST(late_response_exchange, a_second_copy_of_a_refusal_is_not_taken_for_another_attempts_with_the_same_id) {
+    for (auto const time : copy_times) {
+        repeating_target target({refusal("503 Full", "r1"), own_response("r1")}, time);
+        CHECK(exchange(target.address(), "r1").outcome == exchange_outcome::not_executed);
+        std::this_thread::sleep_for(40ms);
+        STRCMP_EQUAL("for r1", body_for(target.address(), "r1").c_str());
+    }
+}
+
+TEST(late_response_exchange, a_connection_remembers_a_bounded_number_of_refusals) {
+    std::vector<std::string> refusals;
+    for (std::size_t i = 0; i <= refused_request_ids::max_count; ++i) {
+        refusals.push_back(refusal("503 Full", "r" + std::to_string(i)));
+    }
+    repeating_target target(refusals, copy_time::with_the_next_request, 999);
+    for (std::size_t i = 0; i < refusals.size(); ++i) {
+        CHECK(exchange(target.address(), "r" + std::to_string(i)).outcome == exchange_outcome::not_executed);
+        LONGS_EQUAL(i < refused_request_ids::max_count ? 1 : 2, target.connection_count());
+    }
+}
