Protocol: Take no copy of the platform's refusal for that of the next call

A status of 429 or 503 says that a call of the platform had no effect. Responses of the platform bear no id, so on a kept connection a second copy of such a response was taken for the refusal of the next call, which the platform performed. The connection of a refused call is now closed; the next call opens a new one.

Before: a_second_copy_of_a_refusal_is_not_taken_for_the_next_calls_refusal failed with "expected <200 (0xc8)> but was <0 (0x0)>". It passes now.

--- a/Libraries/Protocol/protocol/platform_channel.cpp
+++ b/Libraries/Protocol/protocol/platform_channel.cpp
@@ -60,14 +60,16 @@
             connection = m_connections.open(m_address, std::min(deadline, now + m_limits.connect_timeout));
         }
         auto response = exchange(*connection, request, deadline, cancellation);
-        m_connections.release(m_address, std::move(connection));
         if (m_observe_response) {
             m_observe_response(response);
         }
+        // Responses bear no id, so a second copy of a refusal would be taken for the next call's; its
+        // connection is not used again.
         if (response.result_int() == 429 || response.result_int() == 503) {
             throw platform_unavailable("the platform refused the call, status " +
                                        std::to_string(response.result_int()));
         }
+        m_connections.release(m_address, std::move(connection));
         return response;
     } catch (connect_failed const& failure) {
         throw platform_unavailable(failure.what());
