--- a/Libraries/Base/base/endpoint.cpp
+++ b/Libraries/Base/base/endpoint.cpp
@@ -1,6 +1,7 @@
 #include "base/endpoint.hpp"
 
 #include "base/errors.hpp"
+#include "base/foreign_text.hpp"
 
 #include <arpa/inet.h>
 
@@ -11,20 +12,24 @@
 
 namespace {
 
-bool is_ip_address(std::string const& text) {
-    std::array<unsigned char, sizeof(in6_addr)> buffer{};
-    return inet_pton(AF_INET, text.c_str(), buffer.data()) == 1 ||
-           inet_pton(AF_INET6, text.c_str(), buffer.data()) == 1;
-}
-
 [[noreturn]] void throw_invalid(std::string_view text, std::string_view field) {
     throw invalid_input({{.field = std::string(field),
-                          .problem = "\"" + std::string(text) + "\" is not an address",
+                          .problem = "\"" + excerpt(text) + "\" is not an address",
                           .allowed = "IP-ADDRESS:PORT or [IPV6-ADDRESS]:PORT, port 0 to 65535"}});
 }
 
 } // namespace
 
+bool is_ip_address(std::string const& text) {
+    // The C function would ignore what follows a zero byte.
+    if (text.find('\0') != std::string::npos) {
+        return false;
+    }
+    std::array<unsigned char, sizeof(in6_addr)> buffer{};
+    return inet_pton(AF_INET, text.c_str(), buffer.data()) == 1 ||
+           inet_pton(AF_INET6, text.c_str(), buffer.data()) == 1;
+}
+
 endpoint parse_endpoint(std::string_view text, std::string_view field) {
     auto const colon = text.rfind(':');
     if (colon == std::string_view::npos) {
--- a/Libraries/Base/base/endpoint.hpp
+++ b/Libraries/Base/base/endpoint.hpp
@@ -16,6 +16,9 @@
     auto operator<=>(endpoint const&) const = default;
 };
 
+/// Whether the text is an IPv4 or IPv6 address.
+[[nodiscard]] bool is_ip_address(std::string const& text);
+
 /// Parses `127.0.0.1:8080` or `[::1]:8080`.
 /// Throws `invalid_input` naming `field` when the text is not an IP address and a port from 0 to 65535.
 [[nodiscard]] endpoint parse_endpoint(std::string_view text, std::string_view field);
