Platform, Protocol: Use no member whose entry has a value out of range

An instance's entry with port 0 was taken for a member, whose address callers would have been given, and a processor_permille of -1 or 3.0 was converted to another number. Addresses, zone and processors are checked now, and the reason names the field and the range.

Test: odd_entries, a_member_entry_with_an_odd_value_names_no_member_and_the_others_hold. Before: "caller_address "10.0.0.1:0": expected <2> but was <3>"; it passes now.

--- a/Libraries/Coordination/coordination/entry_checks.cpp
+++ b/Libraries/Coordination/coordination/entry_checks.cpp
@@ -72,4 +72,12 @@
     checker.throw_if_any();
 }
 
+void throw_if_invalid(instance_entry const& entry) {
+    entry_checker checker;
+    checker.check_text("zone", entry.zone, 0);
+    checker.check_address("caller_address", entry.caller_address);
+    checker.check_address("peer_address", entry.peer_address);
+    checker.throw_if_any();
+}
+
 } // namespace pomelospread
--- a/Libraries/Coordination/coordination/entry_checks.hpp
+++ b/Libraries/Coordination/coordination/entry_checks.hpp
@@ -1,6 +1,7 @@
-// Checks what targets state about themselves, before it is used or passed on.
+// Checks what targets and instances state about themselves, before it is used or passed on.
 #pragma once
 
+#include "coordination/platform.hpp"
 #include "coordination/target_list_cache.hpp"
 
 #include <cstddef>
@@ -26,7 +27,8 @@
     std::string_view started = "started_unix_ms";
 };
 
-/// Throws `invalid_input` with each field that is out of its range and the range. Thread-safe.
+/// Throw `invalid_input` with each field that is out of its range and the range. Thread-safe.
 void throw_if_invalid(listed_target const& target, listed_target_field_names const& names = {});
+void throw_if_invalid(instance_entry const& entry);
 
 } // namespace pomelospread
--- a/Libraries/Protocol/protocol/platform_json_codec.cpp
+++ b/Libraries/Protocol/protocol/platform_json_codec.cpp
@@ -1,8 +1,11 @@
 #include "protocol/platform_json_codec.hpp"
 
+#include "base/foreign_text.hpp"
+
 #include <array>
 #include <charconv>
 #include <cstdio>
+#include <limits>
 
 namespace pomelospread {
 
@@ -20,6 +23,21 @@
     }
 }
 
+/// An absent field stands for a whole core.
+std::uint32_t processor_permille_field(nlohmann::json const& document) {
+    auto const found = document.find("processor_permille");
+    if (found == document.end()) {
+        return 1000;
+    }
+    constexpr std::uint64_t max = std::numeric_limits<std::uint32_t>::max();
+    if (!found->is_number_unsigned() || found->get<std::uint64_t>() > max) {
+        throw invalid_input({{.field = "processor_permille",
+                              .problem = "not a whole number in its range",
+                              .allowed = "0 to " + std::to_string(max)}});
+    }
+    return found->get<std::uint32_t>();
+}
+
 } // namespace
 
 nlohmann::json to_json(table_cell const& cell) {
@@ -55,7 +73,7 @@
                               .peer_address = address("peer_address"),
                               .admin_address = address("admin_address"),
                               .leaving = document.at("leaving").get<bool>(),
-                              .processor_permille = document.value("processor_permille", 1000U)};
+                              .processor_permille = processor_permille_field(document)};
     });
 }
 
@@ -70,7 +88,7 @@
     auto const result = std::from_chars(text.data(), text.data() + text.size(), id, 16);
     if (result.ec != std::errc() || result.ptr != text.data() + text.size() || id == 0) {
         throw invalid_input({{.field = "instance",
-                              .problem = "\"" + std::string(text) + "\" is not an instance",
+                              .problem = "\"" + excerpt(text) + "\" is not an instance",
                               .allowed = "1 to 16 hexadecimal digits, not all zero"}});
     }
     return id;
--- a/Tests/Platform/test_odd_entries.cpp
+++ b/Tests/Platform/test_odd_entries.cpp
@@ -50,6 +50,11 @@
     {"service", R"("s")"},    {"addr", R"("10.0.0.9:80")"}, {"zone", R"("z")"},     {"version", R"("v1")"},
     {"slots", "6"},           {"state", R"("ready")"},      {"warmup_left_s", "0"}, {"seq", "4"},
     {"born", "1700000000000"}};
+entry_fields const member_fields{{"id", R"("00000000000000aa")"},        {"zone", R"("z")"},
+                                 {"caller_address", R"("10.0.0.1:80")"}, {"peer_address", R"("10.0.0.1:81")"},
+                                 {"admin_address", R"("10.0.0.1:0")"},   {"leaving", "false"},
+                                 {"processor_permille", "500"}};
+
 std::string entry_with(entry_fields fields, std::string const& name, std::string const& value) {
     auto const found = std::ranges::find(fields, name, &entry_fields::value_type::first);
     if (found == fields.end()) {
@@ -68,6 +73,13 @@
     return R"({"key":")" + key + R"(","value":")" + platform::encode_base64(document) + R"("})";
 }
 
+/// A response with one row between two valid ones.
+std::string response_around(std::string const& odd_row, std::string const& valid_entry) {
+    auto text = R"({"rows":[)" + row("a", valid_entry);
+    text += "," + odd_row + "," + row("z", valid_entry);
+    return text + R"(],"ver":7,"now_s":1.5})";
+}
+
 std::string response(std::string const& rows) {
     return R"({"rows":[)" + rows + R"(],"ver":7,"now_s":1.5})";
 }
@@ -119,6 +131,26 @@
     {"unknown", R"("\ud800")", "not a JSON object"},
 };
 
+std::vector<odd_value> const odd_member_values{
+    {"caller_address", R"("10.0.0.1:0")", "caller_address"},
+    {"peer_address", R"("10.0.0.1:0")", "peer_address"},
+    {"peer_address", R"("10.0.0.1\u0000:80")", "peer_address"},
+    {"peer_address", R"("host.example:80")", "peer_address"},
+    {"admin_address", R"("10.0.0.1:65536")", "admin_address"},
+    {"zone", R"("a\r\nb")", "zone"},
+    {"zone", quoted(std::string(201, 'z')), "zone"},
+    {"id", R"("0")", "instance"},
+    {"id", quoted(std::string(long_text_bytes, 'f')), "instance"},
+    {"processor_permille", "-1", "processor_permille"},
+    {"processor_permille", "3.0", "processor_permille"},
+    {"processor_permille", "4294967297", "processor_permille"},
+    {"processor_permille", "18446744073709551615", "processor_permille"},
+    {"processor_permille", "1e400", "not a JSON object"},
+    {"leaving", "0", "type"},
+    {"unknown", nested("[", "]"), ""},
+    {"unknown", nested(R"({"a":)", "}"), ""},
+};
+
 /// Documents of a row that are not an object with fields.
 std::vector<std::string> const odd_documents{
     nested("[", "]"), nested(R"({"a":)", "}"), nested("[", ""), "1e400", std::string(long_text_bytes, '\xff'),
@@ -189,23 +221,31 @@
         auto const document = entry_with(target_fields, field, value);
         std::optional<platform::row_page<listed_target>> page;
         auto const valid = entry_with(target_fields, "unknown", "1");
-        run_in_fiber([&] {
-            page = platform::decode_targets_response(
-                response(row("a", valid) + "," + row("odd", document) + "," + row("z", valid)));
-        });
-        check_page(*page, 2, reason, field + " " + value);
+        run_in_fiber(
+            [&] { page = platform::decode_targets_response(response_around(row("odd", document), valid)); });
+        check_page(*page, 2, reason, entry_with({}, field, value));
+    }
+}
+
+TEST(odd_entries, a_member_entry_with_an_odd_value_names_no_member_and_the_others_hold) {
+    for (auto const& [field, value, reason] : odd_member_values) {
+        auto const document = entry_with(member_fields, field, value);
+        auto const valid = entry_with(member_fields, "unknown", "1");
+        std::optional<platform::row_page<instance_entry>> page;
+        run_in_fiber(
+            [&] { page = platform::decode_members_response(response_around(row("odd", document), valid)); });
+        check_page(*page, 2, reason, entry_with({}, field, value));
     }
 }
 
 TEST(odd_entries, an_odd_id_names_no_target_and_the_others_hold) {
     auto const valid = entry_with(target_fields, "unknown", "1");
-    for (auto const& [id, reason] : odd_ids) {
+    for (auto const& each : odd_ids) {
         std::optional<platform::row_page<listed_target>> page;
         run_in_fiber([&] {
-            page = platform::decode_targets_response(
-                response(row("a", valid) + "," + row(id, valid) + "," + row("z", valid)));
+            page = platform::decode_targets_response(response_around(row(each.first, valid), valid));
         });
-        check_page(*page, 2, reason, "id " + id);
+        check_page(*page, 2, each.second, "id " + each.first);
     }
 }
 
@@ -213,10 +253,8 @@
     auto const valid = entry_with(target_fields, "unknown", "1");
     for (auto const& document : odd_documents) {
         std::optional<platform::row_page<listed_target>> page;
-        run_in_fiber([&] {
-            page = platform::decode_targets_response(
-                response(row("a", valid) + "," + row("odd", document) + "," + row("z", valid)));
-        });
+        run_in_fiber(
+            [&] { page = platform::decode_targets_response(response_around(row("odd", document), valid)); });
         check_page(*page, 2, document.starts_with("{") ? "service is missing" : "not a JSON object",
                    document);
         expect_malformed([&] { static_cast<void>(platform::decode_manifest(document)); });
