--- a/Tests/Processes/platform_stand_in.py
+++ b/Tests/Processes/platform_stand_in.py
@@ -72,6 +72,7 @@
         self.feed_calls = 0
         self.total_calls = 0
         self.tables_reads = 0  # Of the complete tables.
+        self.max_page_rows = 500
         self.object_names = []  # Of the objects that were stored, in order.
         self.era = None  # Stated in every response, if set.
         self.holds_polls = False  # An outage leaves open feeds without a response.
@@ -129,8 +130,9 @@
                 return (503, {}) if self.down else (200, {"rows": rows, "ver": self.version, "now_s": 1.0})
             if path.endswith("rows-get"):
                 self.tables_reads += parameters["table"] == "op"
-                return 200, {"rows": self.rows_of_table(parameters["table"]), "truncated": False, "ver": self.version,
-                             "now_s": 1.0} | self.field_overrides
+                rows = [row for row in self.rows_of_table(parameters["table"]) if row["key"] >= parameters.get("from", "")]
+                return 200, {"rows": rows[:self.max_page_rows], "truncated": len(rows) > self.max_page_rows,
+                             "ver": self.version, "now_s": 1.0} | self.field_overrides
             return 200, {}
 
     def serve(self, connection, stream):
--- a/Tests/Processes/test_forwarding.py
+++ b/Tests/Processes/test_forwarding.py
@@ -17,6 +17,22 @@
 from platform_stand_in import (  # noqa: E402
     ForwardingInstance, PlatformStore, TargetStandIn, make_manifest, make_route, make_target_entry, read_http_message)
 
+def make_odd_entries(target):
+    """Entries of other writers, by key, that name the target but must not be used."""
+    odd_values = {"slots": [0, -1, 3.0, 2**62, 2**64, "6"], "zone": ["z\n", "z" * 200000], "seq": [3.0, 2**63],
+                  "addr": ["host.example:80", "127.0.0.1:0", "127.0.0.1:65536", "127.0.0.1:99999999999", "127.0.0.1\0:1"],
+                  "born": [1.5, -1, 2**63], "warmup_left_s": [-1, 1e9], "service": ["", "s" * 200000]}
+    entry = make_target_entry(target, "s")
+    documents = [entry | {field: value} for field, values in odd_values.items() for value in values]
+    nested = b"[" * 100000 + b"]" * 100000
+    documents += [nested, b'{"a":' * 100000 + b"1" + b"}" * 100000, b"\xff", b"1e400",
+                  json.dumps(entry).encode()[:-1] + b',"x":1e400}', json.dumps(entry | {"slots": 0}).encode()[:-1] +
+                  b',"x":' + nested + b"}"]
+    odd_keys = ["", " k", "k\r\nX-Injected: 1", "k\0", "k" * 201]
+    return {f"k{number} &from=#%/\r\n\u00fc": document for number, document in enumerate(documents)} | {
+        key: entry for key in odd_keys}
+
+
 LISTENERS = ("callers", "readiness", "addresses", "peers", "metrics")
 
 
@@ -238,6 +254,36 @@
         self.assertEqual(self.instance.send_request("/read/plain", "m")[0], 404)
         self.assertIsNone(self.instance.child.poll())
 
+    def test_list_is_followed_while_odd_entries_lie_in_it(self):
+        unused, added = TargetStandIn("i-odd", faults_enabled=False), TargetStandIn("z-added", faults_enabled=False)
+        odd_entries = make_odd_entries(unused)
+        self.store.max_page_rows = 2  # The key of an odd entry begins the next page.
+        for key, document in odd_entries.items():
+            self.store.put("servers", key, document)
+            self.assertEqual(self.instance.send_request("/read/plain", f"odd{len(key)}")[0], 200)
+        for key, document in (("a\r\nb", b"[" * 100000), ("b c", {"id": "1", "zone": "z", "peer_address": "10.0.0.1:0"})):
+            self.store.put("members", key, document)
+        self.store.remove("servers", "i-faulty")
+        self.store.remove("servers", "i-sound")
+        self.publish_target(added, "s")
+        names = []
+
+        def is_served_by_added():
+            status, _, body = self.instance.send_request("/read/plain", f"f{len(names)}")
+            self.assertEqual(status, 200)
+            names.append(body.split()[0])
+            return names[-20:] == [b"z-added"] * 20
+        self.wait_until(is_served_by_added, 6)
+        second_instance = self.start_instance("127.0.0.12")
+        second_instance.wait_until_ready()
+        self.assertEqual(second_instance.send_request("/read/plain", "second")[0], 200)
+        self.assertEqual(unused.arrivals, [])
+        self.assertIsNone(self.instance.child.poll())
+        self.wait_until(lambda: self.instance.log_path.read_text().count("event=entry_unreadable") >= len(odd_entries))
+        lines = [line for line in self.instance.log_path.read_text().splitlines() if "event=entry_unreadable" in line]
+        self.assertEqual(len(lines), len(odd_entries))
+        self.assertLess(max(map(len, lines)), 1000)
+
     def test_new_instance_learns_from_a_peer_during_a_store_outage(self):
         self.store.start_outage()
         time.sleep(1)
