Gateway: Let no odd entry of a peer's message end the gossip

One datagram whose sender stated an address that is none ended the gossip of the instance that received it: it logged fiber_failed with "Invalid argument", and the loop that sends the heartbeats was over. A target with odd values went from a peer's message into the list unchecked.

The address became a member's and failed when the gossip loop sent to it. Senders, members and targets in messages are checked like entries of the platform now.

The round-trip test of fleet_messages_codec encoded a target without an address, which no instance sends; the target has one now, and the test compares the whole target instead of its id.

--- a/Libraries/Gateway/gateway/fleet_messages.cpp
+++ b/Libraries/Gateway/gateway/fleet_messages.cpp
@@ -1,11 +1,16 @@
 #include "gateway/fleet_messages.hpp"
 
 #include "base/errors.hpp"
+#include "base/foreign_text.hpp"
+#include "base/log.hpp"
+#include "coordination/entry_checks.hpp"
 #include "protocol/cereal_codec.hpp"
 
 #include <cereal/types/chrono.hpp>
 #include <xxhash.h>
 
+#include <vector>
+
 namespace pomelospread {
 
 template<class Archive>
@@ -110,6 +115,35 @@
     return XXH3_64bits(bytes.data(), bytes.size());
 }
 
+namespace {
+
+std::string entry_name(listed_target const& target) {
+    return target.id;
+}
+
+std::string entry_name(instance_entry const& entry) {
+    return to_string(entry.peer_address);
+}
+
+/// Removes the entries that are not valid and logs why.
+template<class Entry>
+void erase_invalid(std::vector<Entry>& entries) {
+    std::erase_if(entries, [](Entry const& entry) {
+        try {
+            throw_if_invalid(entry);
+            return false;
+        } catch (invalid_input const& failure) {
+            log_line(log_level::warning, "entry_unreadable")
+                .field("entry", excerpt(entry_name(entry)))
+                .field("reason", failure.what())
+                .write();
+            return true;
+        }
+    });
+}
+
+} // namespace
+
 std::string encode_datagram(fleet_datagram const& message) {
     return detail::encode_message(message);
 }
@@ -119,6 +153,16 @@
     if (message.kind > datagram_kind::load_update) {
         throw malformed_message("the kind of the datagram is not one of 0 to 3");
     }
+    try {
+        if (message.has_members) {
+            throw_if_invalid(message.members.sender);
+        }
+        for (auto const& target : message.list_update.changed_targets) {
+            throw_if_invalid(target);
+        }
+    } catch (invalid_input const& failure) {
+        throw malformed_message(failure.what());
+    }
     return message;
 }
 
@@ -127,7 +171,10 @@
 }
 
 peer_snapshot decode_snapshot(std::string_view bytes) {
-    return detail::decode_message<peer_snapshot>(bytes);
+    auto message = detail::decode_message<peer_snapshot>(bytes);
+    erase_invalid(message.targets);
+    erase_invalid(message.members);
+    return message;
 }
 
 } // namespace pomelospread
--- a/Libraries/Gateway/gateway/fleet_messages.hpp
+++ b/Libraries/Gateway/gateway/fleet_messages.hpp
@@ -101,7 +101,9 @@
 /// Hash of every field; equal tables have equal digests.
 [[nodiscard]] std::uint64_t tables_digest(routing_tables const& tables);
 
-/// The `decode_` functions throw `malformed_message` when the bytes are not exactly one message.
+/// The `decode_` functions throw `malformed_message` when the bytes are not exactly one message. Of a
+/// snapshot, targets and members with values out of range are left out and logged; a datagram with such an
+/// entry is malformed, since an update applies as a whole.
 [[nodiscard]] std::string encode_datagram(fleet_datagram const& message);
 [[nodiscard]] fleet_datagram decode_datagram(std::string_view bytes);
 [[nodiscard]] std::string encode_snapshot(peer_snapshot const& message);
--- a/Tests/Gateway/test_load_exchange.cpp
+++ b/Tests/Gateway/test_load_exchange.cpp
@@ -129,12 +129,12 @@
         .has_list_update = true,
         .list_update = {.version = {.era = 2, .number = 7},
                         .digest = 8,
-                        .changed_targets = {{.id = "a", .pool = "p"}}},
+                        .changed_targets = {{.id = "a", .pool = "p", .address = {"10.0.0.9", 80}}}},
         .load_updates = {{.target_hash = 5, .in_flight = 3, .slowdown_percent = 500}}};
     auto const bytes = encode_datagram(message);
     auto const decoded = decode_datagram(bytes);
     CHECK(decoded.list_update.version == store_version(2, 7));
-    STRCMP_EQUAL("a", decoded.list_update.changed_targets.front().id.c_str());
+    CHECK(decoded.list_update.changed_targets == message.list_update.changed_targets);
     LONGS_EQUAL(500, decoded.load_updates.front().slowdown_percent);
     rc::check("arbitrary bytes", [&](std::string const& text, std::size_t cut) {
         for (auto const& each : {text, bytes.substr(0, cut % bytes.size()) + text}) {
--- a/Tests/Processes/test_forwarding.py
+++ b/Tests/Processes/test_forwarding.py
@@ -344,6 +344,19 @@
         self.wait_until(lambda: json.loads(self.instance.exchange("addresses", query)[2])["addresses"] ==
                         [f"{self.instance.host}:{self.ports['callers']}"], 1)
 
+    def send_datagram(self, seed, replaced=b"", replacement=b""):
+        datagram = (pathlib.Path(__file__).resolve().parents[1] / "Fuzz/seeds/fleet_datagram" / seed).read_bytes()
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            sender.sendto(datagram.replace(replaced, replacement, 1), (self.instance.host, self.ports["peers"]))
+
+    def test_datagram_of_a_sender_without_an_address_does_not_end_the_gossip(self):
+        self.send_datagram("bad-sender-address")
+        other = self.start_instance("127.0.0.12")
+        other.wait_until_ready()
+        self.wait_until(lambda: "event=datagram_rejected" in self.instance.log_path.read_text())
+        time.sleep(1.5)
+        self.assertNotIn("event=fiber_failed", self.instance.log_path.read_text())
+
     def test_logs_explain_how_a_request_ended(self):
         self.instance.send_request("/write/shed", "e-shed", "POST")
         self.instance.send_request("/write/slow3", "e-slow", "POST", deadline_ms=300)
