Gateway: Bound list updates by their bytes, not only by their entries

An update holds as many entries as fit now. Entries of usual length are sent eight at a time, as before.

Test: updates_of_targets_with_long_names_fit_datagrams. Before: the first update took at least three times the limit ("expected <0> but was <3>"); it passes now.

--- a/Libraries/Gateway/gateway/target_list_updates.cpp
+++ b/Libraries/Gateway/gateway/target_list_updates.cpp
@@ -8,32 +8,45 @@
 
 /// An entry takes about 130 bytes of a datagram.
 constexpr std::size_t max_entries_per_update = 8;
+/// Bytes of the entries of one update; the other parts of its datagram take less than 100 of 1400 bytes.
+constexpr std::size_t max_entry_bytes_per_update = 1300;
+/// Bytes that the encoding of a target adds to its texts.
+constexpr std::size_t fixed_entry_bytes = 60;
 /// Sending more updates to the entire fleet would take longer than sending the complete list to a few
 /// instances.
 constexpr std::size_t max_updates = 48;
 
+std::size_t entry_bytes(listed_target const& target) {
+    return fixed_entry_bytes + target.id.size() + target.pool.size() + target.address.address.size() +
+           target.zone.size();
+}
+
 } // namespace
 
 std::vector<target_list_update> make_target_list_updates(target_list_snapshot const& before,
                                                          target_list_snapshot const& after,
                                                          std::uint32_t age_ms) {
     std::vector<target_list_update> updates(1);
-    auto const update_with_room = [&]() -> target_list_update& {
+    std::size_t used_bytes = 0;
+    auto const update_with_room = [&](std::size_t bytes) -> target_list_update& {
         if (updates.back().changed_targets.size() + updates.back().removed_target_ids.size() ==
-            max_entries_per_update) {
+                max_entries_per_update ||
+            used_bytes + bytes > max_entry_bytes_per_update) {
             updates.emplace_back();
+            used_bytes = 0;
         }
+        used_bytes += bytes;
         return updates.back();
     };
     for (auto const& target : after.targets) {
         auto const previous = std::ranges::lower_bound(before.targets, target.id, {}, &listed_target::id);
         if (previous == before.targets.end() || *previous != target) {
-            update_with_room().changed_targets.push_back(target);
+            update_with_room(entry_bytes(target)).changed_targets.push_back(target);
         }
     }
     for (auto const& target : before.targets) {
         if (!std::ranges::binary_search(after.targets, target.id, {}, &listed_target::id)) {
-            update_with_room().removed_target_ids.push_back(target.id);
+            update_with_room(fixed_entry_bytes + target.id.size()).removed_target_ids.push_back(target.id);
         }
     }
     if (updates.size() > max_updates) {
--- a/Tests/Gateway/test_target_list_updates.cpp
+++ b/Tests/Gateway/test_target_list_updates.cpp
@@ -46,6 +46,26 @@
     LONGS_EQUAL(9, list.version.number);
 }
 
+TEST(target_list_update_sequence, updates_of_targets_with_long_names_fit_datagrams) {
+    auto const before = make_list(3, id_range(0, 2));
+    auto after = make_list(9, id_range(0, 60));
+    for (auto& target : after.targets) {
+        target.id += std::string(190, 'i');
+        target.pool = std::string(200, 'p');
+        target.zone = std::string(200, 'z');
+    }
+    after.targets.resize(20);
+    auto const updates = make_target_list_updates(before, after, 5);
+    auto list = before;
+    for (auto const& update : updates) {
+        LONGS_EQUAL(
+            0, encode_datagram({.has_list_update = true, .list_update = update, .has_tables = true}).size() /
+                   1401);
+        list = *apply_target_list_update(list, target_list_digest(list.targets), update);
+    }
+    CHECK(list.targets == after.targets);
+}
+
 TEST(target_list_update_sequence,
      after_a_missed_update_later_ones_do_not_apply_and_the_version_stays_behind) {
     auto const before = make_list(3, id_range(0, 4));
