Gateway: Bound the idle timeout that a target states

A Keep-Alive timeout of 10,000,000,000 s or more overflowed the time until which the connection counts as usable. It counts as an hour now, and a negative one as 0.

Test: an_odd_idle_timeout_does_not_make_a_connection_expire_at_once.

--- a/Libraries/Gateway/gateway/target_client.cpp
+++ b/Libraries/Gateway/gateway/target_client.cpp
@@ -27,10 +27,12 @@
 constexpr int max_skipped_responses = 3;
 /// Of a header field's value that cannot be parsed.
 constexpr std::size_t max_logged_value_bytes = 64;
+/// A longer idle timeout counts as this one: within an hour, a connection that is of use is used again.
+constexpr std::int64_t max_keep_alive_timeout_s = 3600;
 
-/// The idle timeout that the target states as `timeout=` in the Keep-Alive header field.
-std::optional<std::chrono::milliseconds> parse_keep_alive_timeout(http_response const& response) {
-    auto const text = header_field(response, "Keep-Alive");
+} // namespace
+
+std::optional<std::chrono::milliseconds> detail::parse_keep_alive_timeout(std::string_view text) {
     auto const position = text.find("timeout=");
     if (position == std::string_view::npos) {
         return std::nullopt;
@@ -40,11 +42,9 @@
     if (std::from_chars(digits.data(), digits.data() + digits.size(), seconds).ec != std::errc()) {
         return std::nullopt;
     }
-    return std::chrono::seconds(seconds);
+    return std::chrono::seconds(std::clamp<std::int64_t>(seconds, 0, max_keep_alive_timeout_s));
 }
 
-} // namespace
-
 class target_client::connection {
 public:
     explicit connection(asio::io_context& io) : stream(io) {}
@@ -187,7 +187,7 @@
             }
             continue;
         }
-        auto const target_timeout = parse_keep_alive_timeout(response);
+        auto const target_timeout = detail::parse_keep_alive_timeout(header_field(response, "Keep-Alive"));
         auto const idle_timeout =
             target_timeout ? *target_timeout - m_limits.idle_timeout_margin : m_limits.default_idle_timeout;
         reusable =
--- a/Libraries/Gateway/gateway/target_client.hpp
+++ b/Libraries/Gateway/gateway/target_client.hpp
@@ -59,6 +59,14 @@
     std::chrono::milliseconds default_idle_timeout{8000}; ///< For a target that states no timeout.
 };
 
+namespace detail {
+
+/// The idle timeout that a target states as `timeout=` in the value of the Keep-Alive header field, in whole
+/// seconds from 0 to 3600; a value beyond counts as the nearest. Returns nothing when it states no number.
+[[nodiscard]] std::optional<std::chrono::milliseconds> parse_keep_alive_timeout(std::string_view text);
+
+} // namespace detail
+
 /// The connections of one thread to targets.
 class target_client {
 public:
--- a/Tests/Gateway/test_target_client.cpp
+++ b/Tests/Gateway/test_target_client.cpp
@@ -4,9 +4,11 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <array>
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 
 using namespace pomelospread;
 using namespace std::chrono_literals;
@@ -145,3 +147,17 @@
         STRCMP_EQUAL(each.invalid.c_str(), notice.invalid_retry_after.c_str());
     }
 }
+
+TEST(target_client_exchange, an_odd_idle_timeout_does_not_make_a_connection_expire_at_once) {
+    constexpr std::array<std::pair<char const*, std::int64_t>, 4> timeouts{
+        {{"timeout=5", 5},
+         {"timeout=10000000000", 3600},
+         {"timeout=9223372036854775807", 3600},
+         {"timeout=-3", 0}}};
+    for (auto const& [text, seconds] : timeouts) {
+        LONGS_EQUAL_TEXT(seconds * 1000, detail::parse_keep_alive_timeout(text)->count(), text);
+    }
+    for (auto const* text : {"", "max=3", "timeout=", "timeout=x", "timeout=99999999999999999999"}) {
+        CHECK_FALSE_TEXT(detail::parse_keep_alive_timeout(text).has_value(), text);
+    }
+}
