Gateway: Give the status also with a member whose zone is no UTF-8

/status failed while a peer had announced a zone with bytes that are no UTF-8, since the JSON library throws for them. They are replaced now, as in the other documents that hold foreign text.

Test: test_status_is_given_while_a_member_has_a_zone_that_is_no_text. Before: KeyError 'members'; it passes now.

--- a/Libraries/Gateway/gateway/fleet_synchronizer.cpp
+++ b/Libraries/Gateway/gateway/fleet_synchronizer.cpp
@@ -758,7 +758,7 @@
                           {"store_answers", m_is_store_available},
                           {"store_era", m_store_era},
                           {"members", members}}
-               .dump() +
+               .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) +
            "\n";
 }
 
--- a/Tests/Processes/test_forwarding.py
+++ b/Tests/Processes/test_forwarding.py
@@ -357,6 +357,14 @@
         time.sleep(1.5)
         self.assertNotIn("event=fiber_failed", self.instance.log_path.read_text())
 
+    def test_status_is_given_while_a_member_has_a_zone_that_is_no_text(self):
+        self.send_datagram("valid-all", b"z", b"\xff")
+
+        def members():
+            _, _, body = self.instance.exchange("metrics", b"GET /status HTTP/1.1\r\nHost: x\r\n\r\n")
+            return json.loads(body)["members"]
+        self.wait_until(lambda: len(members()) == 2)
+
     def test_logs_explain_how_a_request_ended(self):
         self.instance.send_request("/write/shed", "e-shed", "POST")
         self.instance.send_request("/write/slow3", "e-slow", "POST", deadline_ms=300)
