Coordination: Never take back a stop that an incarnation announced

In a new era of the store, a row of a target that was known to leave made it ready again as soon as the row had been written since, even when that write was one of before the restore, performed late or replayed in order. It would have got requests again.

A stop is final for an incarnation, so it stays, whatever is written under the same start. Two rows of restored_list_rows demanded the opposite ("LR"), a transition that the targets' protocol does not have; they demand "LL" now, which is stricter: before the change both give "expected L but was R".

--- a/Libraries/Coordination/coordination/restored_list_filter.cpp
+++ b/Libraries/Coordination/coordination/restored_list_filter.cpp
@@ -37,7 +37,8 @@
     for (std::size_t i = 0; i < list.targets.size(); ++i) {
         auto& target = list.targets[i];
         if (i < list.row_writes.size() && was_written_since(target, list.row_writes[i])) {
-            m_leaving.erase(target.id);
+            // A stop is never taken back; the write may be one of before the restore, performed late.
+            target.leaving = target.leaving || was_leaving(target);
             corrected.push_back(std::move(target));
             continue;
         }
@@ -65,10 +66,13 @@
         return;
     }
     for (auto& target : list.targets) {
-        auto const found = m_leaving.find(target.id);
-        target.leaving =
-            target.leaving || (found != m_leaving.end() && found->second == target.started_unix_ms);
+        target.leaving = target.leaving || was_leaving(target);
     }
 }
 
+bool restored_list_filter::was_leaving(listed_target const& target) const {
+    auto const found = m_leaving.find(target.id);
+    return found != m_leaving.end() && found->second == target.started_unix_ms;
+}
+
 } // namespace pomelospread
--- a/Libraries/Coordination/coordination/restored_list_filter.hpp
+++ b/Libraries/Coordination/coordination/restored_list_filter.hpp
@@ -40,6 +40,8 @@
         std::int64_t sequence = 0;
     };
 
+    /// Whether this incarnation was known as leaving when the era began.
+    [[nodiscard]] bool was_leaving(listed_target const& target) const;
     [[nodiscard]] bool was_written_since(listed_target const& target, row_write const& write);
 
     time_point m_began_at{};
--- a/Tests/Coordination/test_target_list_cache.cpp
+++ b/Tests/Coordination/test_target_list_cache.cpp
@@ -93,8 +93,8 @@
 
 std::array<restored_row_case, 9> const restored_row_cases{{
     {"old row of a leaving target", incarnation(1, true), incarnation(1), {40, 5}, {40, 5}, "LL"},
-    {"leaving target wrote", incarnation(1, true), incarnation(1), {40, 5}, {62, 5}, "LR"},
-    {"leaving target wrote without a version", incarnation(1, true), incarnation(1), {40, 5}, {40, 6}, "LR"},
+    {"leaving target wrote", incarnation(1, true), incarnation(1), {40, 5}, {62, 5}, "LL"},
+    {"leaving target wrote without a version", incarnation(1, true), incarnation(1), {40, 5}, {40, 6}, "LL"},
     {"old row of a target that left", std::nullopt, incarnation(1), {40, 5}, {40, 5}, "--"},
     {"target that was not known wrote", std::nullopt, incarnation(1), {40, 5}, {40, 6}, "-R"},
     {"old row announces a stop", incarnation(1), incarnation(1, true), {40, 5}, {40, 5}, "LL"},
