Gateway: Pause after a list of targets that is older than the known one

A list whose version was below the known one, for example because a response stated no era, was dropped and read again at once, without a pause and with a datagram to every peer in each turn. It counts as a failed read now, with its pause and log line.

--- a/Libraries/Gateway/gateway/fleet_synchronizer.cpp
+++ b/Libraries/Gateway/gateway/fleet_synchronizer.cpp
@@ -336,6 +336,9 @@
         }
         try {
             auto snapshot = m_store.read_targets();
+            if (snapshot.version < m_target_list.current().version) {
+                throw platform_unavailable("the list of targets is older than the known one");
+            }
             record_store_availability(true, "targets", "");
             auto const now = clock::now();
             auto const previous = m_target_list.current();
--- a/Tests/Processes/test_restored_store.py
+++ b/Tests/Processes/test_restored_store.py
@@ -176,6 +176,15 @@
                 self.store.remove("servers", target.name)
                 self.wait_for_targets(1, 5)
 
+    # A failed call is repeated each 0.7 s at the most, by the two loops of both instances.
+    def test_responses_without_an_era_are_not_asked_for_without_a_pause(self):
+        self.store.restore(self.store.take_copy())
+        self.wait_until(lambda: all(self.status(instance)["store_era"] == 2 for instance in self.instances))
+        self.store.era = None
+        calls = self.store.total_calls
+        time.sleep(4)
+        self.assertLessEqual(self.store.total_calls - calls, 2 * 2 * 4 / 0.7)
+
     def test_target_whose_entry_was_lost_is_kept_until_it_could_register_again(self):
         for registers in (True, False):
             with self.subTest(registers=registers):
