Gateway: Ask a peer before the first list of a store that came back

An instance that started after the store had come back from an older copy took the copy's rows as they were: a target that had left got requests again, from it and, once it read the list for all, from every instance. It asks a peer first now, when the era is not the first one, and what the peer knows is what old rows must not undo.

--- a/Libraries/Coordination/coordination/store_version.hpp
+++ b/Libraries/Coordination/coordination/store_version.hpp
@@ -6,6 +6,9 @@
 
 namespace pomelospread {
 
+/// The era of a store that has not come back from an older copy.
+constexpr std::uint64_t first_store_era = 1;
+
 /// The store's version numbers identify its content only within one era: a store that comes back from an
 /// older copy begins a new era, in which it assigns numbers again. Positions are ordered by era, then by
 /// number.
--- a/Libraries/Coordination/coordination/target_list_cache.cpp
+++ b/Libraries/Coordination/coordination/target_list_cache.cpp
@@ -45,6 +45,9 @@
         return false;
     }
     begin_era_if_newer(snapshot.version, read_at);
+    if (!has_snapshot() && snapshot.version.era > first_store_era) {
+        m_restored_list_filter.begin_era(snapshot.version, snapshot.targets, read_at);
+    }
     m_restored_list_filter.correct_peer_list(snapshot);
     return replace(std::move(snapshot), read_at);
 }
--- a/Libraries/Gateway/gateway/fleet_synchronizer.cpp
+++ b/Libraries/Gateway/gateway/fleet_synchronizer.cpp
@@ -145,7 +145,8 @@
     m_store_era_learned.notify_all();
     if (before > 0) {
         m_thread.spawn([this] {
-            boost::this_fiber::sleep_for(random_up_to(rewrite_spread));
+            boost::this_fiber::sleep_for(random_up_to(std::max(
+                rewrite_spread, rewrite_spread_per_member * static_cast<int>(m_membership.view().size()))));
             register_again();
             m_recent_objects.store_again();
         });
@@ -317,6 +318,7 @@
 }
 
 void fleet_synchronizer::poll_targets() {
+    bool asked_peer_first = false;
     auto const first_list_wait = max_tables_silence + random_up_to(poll_spread);
     wait_until_joined();
     while (!m_stopping) {
@@ -333,6 +335,15 @@
         } else if (!m_plan.watches_tables() && clock::now() < m_joined_at + first_list_wait) {
             boost::this_fiber::sleep_for(join_check_interval);
             continue;
+        } else if (m_store_era > first_store_era && !std::exchange(asked_peer_first, true)) {
+            // The store may have come back from an older copy, whose old rows only a peer tells apart.
+            while (m_is_fetching_snapshot) {
+                boost::this_fiber::sleep_for(join_check_interval);
+            }
+            if (auto const peer = choose_snapshot_peer(1); peer && !m_target_list.has_snapshot()) {
+                fetch_snapshot(*peer, false);
+            }
+            continue;
         }
         try {
             auto snapshot = m_store.read_targets();
--- a/Tests/Processes/test_restored_store.py
+++ b/Tests/Processes/test_restored_store.py
@@ -176,6 +176,21 @@
                 self.store.remove("servers", target.name)
                 self.wait_for_targets(1, 5)
 
+    def test_target_that_had_left_gets_no_requests_after_a_restart(self):
+        target = self.targets[1]
+        self.publish(target)
+        self.wait_for_targets(2)
+        copy = self.store.take_copy()
+        self.store.remove("servers", target.name)
+        self.wait_for_targets(1)
+        self.store.restore(copy)
+        self.raise_store_version()
+        self.wait_until(lambda: self.status(self.instances[0])["store_era"] == 2)
+        self.instances[1].kill()
+        self.instances[1] = self.start_instance(1)
+        self.wait_until(self.instances[1].is_ready, 4)
+        self.assertFalse(self.receives_requests(target, 3))
+
     # A failed call is repeated each 0.7 s at the most, by the two loops of both instances.
     def test_responses_without_an_era_are_not_asked_for_without_a_pause(self):
         self.store.restore(self.store.take_copy())
