Gateway: Spread registrations in a new era over the size of the fleet

472 instances that register again within two seconds are 236 transactions a second, where the platform takes 150. 20 ms for each member are added, two seconds at least; small fleets are as before. By computation, not by a run; found by a reader.

--- a/Libraries/Gateway/gateway/fleet_synchronizer.cpp
+++ b/Libraries/Gateway/gateway/fleet_synchronizer.cpp
@@ -36,6 +36,8 @@
 /// In a new era of the platform's store, all instances write again what it may have lost, spread over this
 /// time.
 constexpr auto rewrite_spread = milliseconds(2000);
+/// Added for each member, since the platform takes the registrations one after the other.
+constexpr auto rewrite_spread_per_member = milliseconds(20);
 /// An instance that does not watch the tables asks the platform itself after this silence.
 constexpr auto max_tables_silence = milliseconds(1500);
 /// Such instances, and those that have no target list yet, spread their polls over this time.
