Gateway: Close an idle connection also when an empty line has just come

At a stop, a connection on which only an empty line had arrived counted as one with a request on its way and stayed open to the idle timeout.

--- a/Libraries/Gateway/gateway/caller_server.cpp
+++ b/Libraries/Gateway/gateway/caller_server.cpp
@@ -100,7 +100,7 @@
     /// its first request.
     void close_if_idle() {
         read_available({});
-        if (!m_pending.empty() || !m_unparsed.empty() || m_in_request) {
+        if (!m_pending.empty() || has_request_bytes() || m_in_request) {
             return;
         }
         if (m_has_read_request) {
