--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -10,6 +10,7 @@
 import os
 import pathlib
 import re
+import shutil
 import signal
 import socket
 import subprocess
@@ -377,6 +378,8 @@
                 process.send_signal(signal.SIGCONT)
                 process.kill()
                 process.wait()
+        if os.environ.get("KEEP_LOGS", "0") == "0":
+            shutil.rmtree(self.folder, ignore_errors=True)
 
 
 class Requester:
@@ -460,9 +463,16 @@
 
 def main_of(scenario):
     """Runs a scenario and exits with its result; 2 if it could not run."""
+
+    async def run():
+        task = asyncio.ensure_future(scenario())
+        for each in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(each, task.cancel)
+        return await asyncio.wait_for(task, 115)
+
     try:
-        code = asyncio.run(asyncio.wait_for(scenario(), 115))
-    except Exception as failure:
+        code = asyncio.run(run())
+    except (Exception, asyncio.CancelledError) as failure:
         print(f"could not run: {failure!r}")
         code = 2
     os._exit(code)
