Coordination: End an outage of the target list also by a peer's read

Cause: record_read_failure notes an outage at every instance, and only a platform read of its own cleared the note. The others are fed by one reader, so they kept it, and the next reader took its first read for the end of the outage and retained what the list lacked for 2.2 s. Ruled out: the gap between reads (the peers' lists were fresh).

Change: the note is the time of the last failure; a peer's read after it ends the outage, at the time of that read.

--- a/Libraries/Coordination/coordination/target_list_cache.cpp
+++ b/Libraries/Coordination/coordination/target_list_cache.cpp
@@ -25,10 +25,10 @@
     m_restored_list_filter.correct_platform_list(snapshot, m_snapshot.targets, read_at);
     snapshot.row_writes.clear();
     bool const may_have_missed_outage = has_snapshot() && read_at - m_read_at > m_limits.max_read_gap;
-    if (m_in_outage || may_have_missed_outage) {
+    if (m_outage_seen_at || may_have_missed_outage) {
         m_outage_ended_at = read_at;
     }
-    m_in_outage = false;
+    m_outage_seen_at.reset();
     if (m_outage_ended_at != time_point{} && read_at - m_outage_ended_at < m_limits.reregistration_time) {
         for (auto const& known : m_snapshot.targets) {
             auto const listed = std::ranges::lower_bound(snapshot.targets, known.id, {}, &listed_target::id);
@@ -49,6 +49,7 @@
         m_restored_list_filter.begin_era(snapshot.version, snapshot.targets, read_at);
     }
     m_restored_list_filter.correct_peer_list(snapshot);
+    end_outage_by_peer(read_at);
     return replace(std::move(snapshot), read_at);
 }
 
@@ -59,6 +60,13 @@
     }
 }
 
+void target_list_cache::end_outage_by_peer(time_point read_at) {
+    if (m_outage_seen_at && read_at > *m_outage_seen_at) {
+        m_outage_ended_at = read_at;
+        m_outage_seen_at.reset();
+    }
+}
+
 bool target_list_cache::replace(target_list_snapshot snapshot, time_point read_at) {
     m_read_at = std::max(m_read_at, read_at);
     m_snapshot = std::move(snapshot);
@@ -70,7 +78,7 @@
 
 void target_list_cache::record_read_failure(time_point now) {
     if (now - m_read_at > m_limits.max_read_gap / 2) {
-        m_in_outage = true;
+        m_outage_seen_at = now;
     }
 }
 
@@ -79,6 +87,7 @@
         return;
     }
     begin_era_if_newer(version, read_at);
+    end_outage_by_peer(read_at);
     m_snapshot.version = version;
     m_read_at = std::max(m_read_at, read_at);
 }
--- a/Libraries/Coordination/coordination/target_list_cache.hpp
+++ b/Libraries/Coordination/coordination/target_list_cache.hpp
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace pomelospread {
@@ -49,6 +50,8 @@
 
 private:
     void begin_era_if_newer(store_version version, time_point read_at);
+    /// A peer's read after the outage that this instance saw shows that it is over.
+    void end_outage_by_peer(time_point read_at);
     bool replace(target_list_snapshot snapshot, time_point read_at);
 
     target_list_cache_limits m_limits;
@@ -56,8 +59,8 @@
     restored_list_filter m_restored_list_filter;
     std::uint64_t m_digest = 0;
     time_point m_read_at{};
-    time_point m_outage_ended_at{}; ///< Time of the first read after an outage.
-    bool m_in_outage = false;
+    time_point m_outage_ended_at{}; ///< Time of the first read after an outage, by this instance or a peer.
+    std::optional<time_point> m_outage_seen_at; ///< The last failure of the outage in progress.
 };
 
 /// Hash of every field except the remaining warm-up times; equal lists have equal digests.
--- a/Tests/Coordination/test_target_list_cache.cpp
+++ b/Tests/Coordination/test_target_list_cache.cpp
@@ -41,6 +41,48 @@
     STRCMP_EQUAL("b", cache.current().targets.front().id.c_str());
 }
 
+namespace {
+
+/// How an instance that saw an outage hears of a peer's read, and whether it retains, as the reader `after`
+/// that read, an entry that the platform's list lacks. The outage was last seen at 3 s.
+struct peer_read_case {
+    char const* name;
+    bool is_confirmation; ///< The peer's list is unchanged.
+    std::chrono::milliseconds peer_read;
+    std::chrono::milliseconds after;
+    bool is_retained;
+};
+
+std::array<peer_read_case, 5> const peer_read_cases{{
+    {"long after a list", false, 6s, 2300ms, false},
+    {"long after a confirmation", true, 6s, 2300ms, false},
+    {"soon after a list", false, 6s, 800ms, true},
+    {"soon after a confirmation", true, 6s, 800ms, true},
+    {"a list that was read before the failure", false, 2900ms, 2300ms, true},
+}};
+
+} // namespace
+
+// Guards against a new reader of the list that takes its first read for the end of an outage long past and
+// keeps removed targets (review/3).
+TEST(target_list_caches, read_of_a_peer_ends_an_outage) {
+    for (auto const& each : peer_read_cases) {
+        target_list_cache list;
+        target_list_snapshot const both{.version = {.number = 1}, .targets = {target("a"), target("b")}};
+        list.apply_platform_snapshot(both, now);
+        list.record_read_failure(now + 3s);
+        if (each.is_confirmation) {
+            list.confirm_unchanged({.number = 2}, list.digest(), now + each.peer_read);
+        } else {
+            list.apply_peer_snapshot({.version = {.number = 2}, .targets = both.targets},
+                                     now + each.peer_read);
+        }
+        list.apply_platform_snapshot({.version = {.number = 3}, .targets = {target("a")}},
+                                     now + each.peer_read + each.after);
+        CHECK_EQUAL_TEXT(each.is_retained ? 2U : 1U, list.current().targets.size(), each.name);
+    }
+}
+
 TEST(target_list_caches, leaving_flag_is_applied_also_after_an_outage) {
     cache.apply_platform_snapshot({.version = {.number = 1}, .targets = {target("a")}}, now);
     cache.record_read_failure(now + 3s);
