Coordination: Take no removed target back from a peer that retained it

When they wake, the whole fleet sends requests to targets that had left, until the regular reader's next read (up to 0.8 s).

Cause: an instance whose last read is older than 2.5 s cannot tell its own suspension from an outage of the store and retains what its read lacks. It announced that list under the version of the read, and the peers adopted it whole.

Change: a list names the entries that its reader retained. A receiver keeps of these only those that it knows, as it knows them; one without a list takes them with the mark. An instance whose list is older than 2.5 s asks a peer once before it reads the platform's list.

The three new tests of target_list_caches fail with the cache as it was. Relays, restored_store, forwarding pass.

--- a/Libraries/Coordination/coordination/target_list_cache.cpp
+++ b/Libraries/Coordination/coordination/target_list_cache.cpp
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace pomelospread {
 
@@ -24,8 +25,7 @@
     begin_era_if_newer(snapshot.version, read_at);
     m_restored_list_filter.correct_platform_list(snapshot, m_snapshot.targets, read_at);
     snapshot.row_writes.clear();
-    bool const may_have_missed_outage = has_snapshot() && read_at - m_read_at > m_limits.max_read_gap;
-    if (m_outage_seen_at || may_have_missed_outage) {
+    if (m_outage_seen_at || is_outdated(read_at)) {
         m_outage_ended_at = read_at;
     }
     m_outage_seen_at.reset();
@@ -34,6 +34,7 @@
             auto const listed = std::ranges::lower_bound(snapshot.targets, known.id, {}, &listed_target::id);
             if (listed == snapshot.targets.end() || listed->id != known.id) {
                 snapshot.targets.insert(listed, known);
+                snapshot.retained_ids.push_back(known.id);
             }
         }
     }
@@ -49,6 +50,9 @@
         m_restored_list_filter.begin_era(snapshot.version, snapshot.targets, read_at);
     }
     m_restored_list_filter.correct_peer_list(snapshot);
+    if (has_snapshot()) {
+        replace_retained_entries(snapshot);
+    }
     end_outage_by_peer(read_at);
     return replace(std::move(snapshot), read_at);
 }
@@ -60,6 +64,22 @@
     }
 }
 
+void target_list_cache::replace_retained_entries(target_list_snapshot& snapshot) const {
+    for (auto const& id : std::exchange(snapshot.retained_ids, {})) {
+        auto const listed = std::ranges::find(snapshot.targets, id, &listed_target::id);
+        auto const known = std::ranges::lower_bound(m_snapshot.targets, id, {}, &listed_target::id);
+        if (listed == snapshot.targets.end()) {
+            continue;
+        }
+        if (known == m_snapshot.targets.end() || known->id != id) {
+            snapshot.targets.erase(listed);
+            continue;
+        }
+        *listed = *known;
+        snapshot.retained_ids.push_back(id);
+    }
+}
+
 void target_list_cache::end_outage_by_peer(time_point read_at) {
     if (m_outage_seen_at && read_at > *m_outage_seen_at) {
         m_outage_ended_at = read_at;
--- a/Libraries/Coordination/coordination/target_list_cache.hpp
+++ b/Libraries/Coordination/coordination/target_list_cache.hpp
@@ -32,8 +32,9 @@
     /// known. Returns whether the list changed.
     bool apply_platform_snapshot(target_list_snapshot snapshot, time_point read_at);
     /// Applies the current list of a peer, unless its version is older than the current one. The peer has
-    /// already retained entries after an outage, so entries that its list lacks are removed. Returns whether
-    /// the list changed.
+    /// already retained entries after an outage, so entries that its list lacks are removed. Of the entries
+    /// that it retained, only those that are known here remain, as they are known: a peer that was suspended
+    /// or cut off does not know which targets left. Returns whether the list changed.
     bool apply_peer_snapshot(target_list_snapshot snapshot, time_point read_at);
     /// A read of the platform's list failed. It counts as an outage when the current list is older than half
     /// of `max_read_gap`.
@@ -47,9 +48,15 @@
     /// Digest of the current list; see `target_list_digest`.
     [[nodiscard]] std::uint64_t digest() const noexcept { return m_digest; }
     [[nodiscard]] time_point read_at() const noexcept { return m_read_at; }
+    /// Whether this instance may have been suspended or cut off since the list was read, so that its peers'
+    /// lists may be newer.
+    [[nodiscard]] bool is_outdated(time_point now) const noexcept {
+        return has_snapshot() && now - m_read_at > m_limits.max_read_gap;
+    }
 
 private:
     void begin_era_if_newer(store_version version, time_point read_at);
+    void replace_retained_entries(target_list_snapshot& snapshot) const;
     /// A peer's read after the outage that this instance saw shows that it is over.
     void end_outage_by_peer(time_point read_at);
     bool replace(target_list_snapshot snapshot, time_point read_at);
--- a/Libraries/Coordination/coordination/target_list_snapshot.hpp
+++ b/Libraries/Coordination/coordination/target_list_snapshot.hpp
@@ -36,6 +36,9 @@
     std::vector<listed_target> targets;
     /// Of `targets`, in the same order. Only in a list that was read from the platform.
     std::vector<row_write> row_writes{};
+    /// Of `targets`, those that the platform's list lacked and that the reader retained after an outage,
+    /// since they may register again; in order. Which ones are retained is the reader's assumption.
+    std::vector<std::string> retained_ids{};
 };
 
 } // namespace pomelospread
--- a/Libraries/Gateway/gateway/fleet_messages.cpp
+++ b/Libraries/Gateway/gateway/fleet_messages.cpp
@@ -107,7 +107,7 @@
 template<class Archive>
 void serialize(Archive& archive, peer_snapshot& value) {
     archive(value.current_tables, value.tables_era, value.target_list_version, value.target_list_age_ms,
-            value.targets, value.members);
+            value.targets, value.retained_target_ids, value.members);
 }
 
 std::uint64_t tables_digest(routing_tables const& tables) {
--- a/Libraries/Gateway/gateway/fleet_messages.hpp
+++ b/Libraries/Gateway/gateway/fleet_messages.hpp
@@ -95,6 +95,7 @@
     store_version target_list_version;
     std::uint32_t target_list_age_ms = 0;
     std::vector<listed_target> targets;
+    std::vector<std::string> retained_target_ids; ///< `target_list_snapshot::retained_ids`.
     std::vector<instance_entry> members;
 };
 
--- a/Libraries/Gateway/gateway/fleet_synchronizer.cpp
+++ b/Libraries/Gateway/gateway/fleet_synchronizer.cpp
@@ -401,6 +401,7 @@
 
 void fleet_synchronizer::poll_targets() {
     bool asked_peer_first = false;
+    bool asked_peer_since_fresh = false;
     auto const first_list_wait = max_tables_silence + random_up_to(poll_spread);
     wait_until_joined();
     while (!m_stopping) {
@@ -411,9 +412,17 @@
             auto const due = m_target_list.read_at() + m_list_poll_schedule.max_list_age(rank);
             auto const now = clock::now();
             if (now < due) {
+                asked_peer_since_fresh = false;
                 boost::this_fiber::sleep_until(std::min(due, now + m_list_poll_schedule.max_list_age(0)));
                 continue;
             }
+            if (m_target_list.is_outdated(now) && !std::exchange(asked_peer_since_fresh, true)) {
+                // After a suspension of this instance, its peers know what changed.
+                if (auto const peer = choose_snapshot_peer(0)) {
+                    fetch_snapshot(*peer, false);
+                }
+                continue;
+            }
         } else if (!m_plan.watches_tables() && clock::now() < m_joined_at + first_list_wait) {
             boost::this_fiber::sleep_for(join_check_interval);
             continue;
@@ -748,9 +757,10 @@
         auto const previous = m_target_list.current();
         learn_store_era(snapshot.target_list_version.era, "peer");
         if (snapshot.target_list_version != store_version{} &&
-            m_target_list.apply_peer_snapshot(
-                {.version = snapshot.target_list_version, .targets = std::move(snapshot.targets)},
-                started - milliseconds(snapshot.target_list_age_ms))) {
+            m_target_list.apply_peer_snapshot({.version = snapshot.target_list_version,
+                                               .targets = std::move(snapshot.targets),
+                                               .retained_ids = std::move(snapshot.retained_target_ids)},
+                                              started - milliseconds(snapshot.target_list_age_ms))) {
             apply_targets("peer");
             if (m_plan.forwards_from(peer)) {
                 broadcast_target_list_updates(
@@ -792,6 +802,7 @@
         snapshot.target_list_version = m_target_list.current().version;
         snapshot.target_list_age_ms = age_ms(m_target_list.read_at(), clock::now());
         snapshot.targets = m_target_list.current().targets;
+        snapshot.retained_target_ids = m_target_list.current().retained_ids;
     }
     if (request.with_members) {
         for (auto const& member : m_membership.view()) {
--- a/Libraries/Gateway/gateway/target_list_updates.cpp
+++ b/Libraries/Gateway/gateway/target_list_updates.cpp
@@ -73,12 +73,15 @@
     if (update.delta_base_digest == 0 || update.delta_base_digest != digest) {
         return std::nullopt;
     }
-    target_list_snapshot next{.version = update.version, .targets = current.targets};
-    std::erase_if(next.targets, [&](auto const& target) {
-        return std::ranges::find(update.removed_target_ids, target.id) != update.removed_target_ids.end() ||
-               std::ranges::find(update.changed_targets, target.id, &listed_target::id) !=
+    target_list_snapshot next{
+        .version = update.version, .targets = current.targets, .retained_ids = current.retained_ids};
+    auto const is_updated = [&](std::string const& id) {
+        return std::ranges::find(update.removed_target_ids, id) != update.removed_target_ids.end() ||
+               std::ranges::find(update.changed_targets, id, &listed_target::id) !=
                    update.changed_targets.end();
-    });
+    };
+    std::erase_if(next.retained_ids, is_updated);
+    std::erase_if(next.targets, [&](auto const& target) { return is_updated(target.id); });
     next.targets.insert(next.targets.end(), update.changed_targets.begin(), update.changed_targets.end());
     std::ranges::sort(next.targets, {}, &listed_target::id);
     return next;
--- a/Tests/Coordination/test_target_list_cache.cpp
+++ b/Tests/Coordination/test_target_list_cache.cpp
@@ -83,6 +83,68 @@
     }
 }
 
+namespace {
+
+/// What an instance knows when it receives a peer's list in which the peer retained the ready target "b".
+struct retained_entry_case {
+    char const* name;
+    std::optional<target_list_snapshot> known;
+    std::size_t targets;
+    std::size_t retained;
+    bool is_leaving;
+};
+
+std::array<retained_entry_case, 4> const retained_entry_cases{{
+    {"target left", target_list_snapshot{.version = {.number = 1}, .targets = {target("a")}}, 1, 0, false},
+    {"target known", target_list_snapshot{.version = {.number = 1}, .targets = {target("a"), target("b")}}, 2,
+     1, false},
+    {"target known as leaving",
+     target_list_snapshot{.version = {.number = 1}, .targets = {target("a"), target("b", true)}}, 2, 1, true},
+    {"no list yet", std::nullopt, 2, 1, false},
+}};
+
+} // namespace
+
+// Guards against an instance that was suspended or cut off and gives the fleet removed targets back
+// (review/4).
+TEST(target_list_caches, entry_that_a_peer_retained_does_not_return) {
+    target_list_cache suspended;
+    suspended.apply_platform_snapshot({.version = {.number = 1}, .targets = {target("a"), target("b")}}, now);
+    suspended.apply_platform_snapshot({.version = {.number = 2}, .targets = {target("a")}}, now + 4s);
+    LONGS_EQUAL(2, suspended.current().targets.size());
+    for (auto const& each : retained_entry_cases) {
+        target_list_cache list;
+        if (each.known) {
+            list.apply_peer_snapshot(*each.known, now + 3s);
+        }
+        list.apply_peer_snapshot(suspended.current(), now + 4s);
+        auto const& current = list.current();
+        CHECK_EQUAL_TEXT(each.targets, current.targets.size(), each.name);
+        CHECK_EQUAL_TEXT(each.retained, current.retained_ids.size(), each.name);
+        CHECK_EQUAL_TEXT(each.is_leaving, current.targets.back().leaving, each.name);
+        CHECK_EQUAL_TEXT(2U, current.version.number, each.name);
+    }
+}
+
+// Guards against an assumption that becomes a fact on its way through an instance that has no list yet.
+TEST(target_list_caches, entry_that_a_peers_peer_retained_does_not_return) {
+    target_list_cache started;
+    started.apply_peer_snapshot(
+        {.version = {.number = 2}, .targets = {target("a"), target("b")}, .retained_ids = {"b"}}, now);
+    cache.apply_platform_snapshot({.version = {.number = 1}, .targets = {target("a")}}, now);
+    cache.apply_peer_snapshot(started.current(), now);
+    LONGS_EQUAL(1, cache.current().targets.size());
+}
+
+TEST(target_list_caches, listed_entry_is_no_longer_retained) {
+    cache.apply_platform_snapshot({.version = {.number = 1}, .targets = {target("a"), target("b")}}, now);
+    cache.apply_platform_snapshot({.version = {.number = 2}, .targets = {target("a")}}, now + 4s);
+    LONGS_EQUAL(1, cache.current().retained_ids.size());
+    cache.apply_platform_snapshot({.version = {.number = 3}, .targets = {target("a"), target("b")}},
+                                  now + 5s);
+    LONGS_EQUAL(0, cache.current().retained_ids.size());
+}
+
 TEST(target_list_caches, leaving_flag_is_applied_also_after_an_outage) {
     cache.apply_platform_snapshot({.version = {.number = 1}, .targets = {target("a")}}, now);
     cache.record_read_failure(now + 3s);
