Gateway: State a Retry-After above 0 when an instance stops

The fault soak demands a Retry-After above 0 with every 503. The refusals at a planned stop said 0; they say 0.001 s now, since other instances serve the callers at once.

--- a/Libraries/Gateway/gateway/request_dispatcher.cpp
+++ b/Libraries/Gateway/gateway/request_dispatcher.cpp
@@ -30,6 +30,8 @@
 /// Retry-After of a request that was not run; randomized, so that refused callers do not all retry at once.
 constexpr double min_retry_after_s = 0.05;
 constexpr double retry_after_jitter_s = 0.15;
+/// Retry-After of an instance that stops: others serve its callers at once.
+constexpr double retry_elsewhere_after_s = 0.001;
 /// Of a host or path that no route matches, in the log.
 constexpr std::size_t max_logged_characters = 128;
 /// Longest wait for load probes before a target is chosen: enough for a round trip between zones, a new
@@ -537,9 +539,8 @@
     auto response = make_response(503, "application/json",
                                   "{\"error\":\"not_run\",\"reason\":\"" + std::string(reason) + "\"}\n");
     auto const jitter = static_cast<double>(thread_random()() % 1000) / 1000.0;
-    // Other instances serve the callers of one that stops.
     bool const is_stopping = m_state.serving_ends_at != steady_time::max();
-    auto seconds = is_stopping ? 0.0 : min_retry_after_s + jitter * retry_after_jitter_s;
+    auto seconds = is_stopping ? retry_elsewhere_after_s : min_retry_after_s + jitter * retry_after_jitter_s;
     auto const now = std::chrono::steady_clock::now();
     if (auto const paused_until = m_state.selector.paused_until(request.pool, now)) {
         seconds += std::chrono::duration<double>(*paused_until - now).count();
