Gateway: Run no request behind a response that closes its connection

Cause: a request that may not run beside the one in progress was read and waited, and was counted neither as unread nor as in progress. Ruled out by the soak: stops without such requests, SIGHUP, changes of the tables, a second SIGTERM: no request of these was lost.

Change: such a request counts as pending behind the response, and is not started once the connection is closing.

--- a/Libraries/Gateway/gateway/caller_server.cpp
+++ b/Libraries/Gateway/gateway/caller_server.cpp
@@ -273,14 +273,15 @@
     /// further request of the connection is to be read.
     bool start_request(std::shared_ptr<pending_request> const& entry, steady_time received) {
         bool const is_concurrent = m_server.m_callbacks.may_run_concurrently(entry->request);
-        while (!m_pending.empty() && (!is_concurrent || !m_pending_may_run_concurrently ||
-                                      m_pending.size() >= max_concurrent_requests)) {
-            if (m_is_disconnected) {
-                return false;
-            }
+        m_is_request_waiting = true;
+        while (!m_is_disconnected && !m_pending.empty() &&
+               (!is_concurrent || !m_pending_may_run_concurrently ||
+                m_pending.size() >= max_concurrent_requests)) {
             wait_for_change(std::chrono::steady_clock::now() + write_timeout);
         }
-        if (m_is_disconnected) {
+        m_is_request_waiting = false;
+        if (m_is_disconnected || m_closing) {
+            // The caller sends a request that is behind a closing response again, so it must not run.
             return false;
         }
         m_pending_may_run_concurrently = is_concurrent;
@@ -320,7 +321,8 @@
 
     void write(pending_request& entry) {
         auto& response = *entry.response;
-        bool const is_last_pending = m_pending.size() == 1 && m_unparsed.empty() && !m_in_request;
+        bool const is_last_pending =
+            m_pending.size() == 1 && m_unparsed.empty() && !m_in_request && !m_is_request_waiting;
         bool const keep_alive = entry.keep_alive && !(m_server.m_draining && is_last_pending);
         if (!keep_alive) {
             m_closing = true;
@@ -396,6 +398,7 @@
     boost::fibers::condition_variable m_changed;
     bool m_is_waiting_for_readable = false;
     bool m_in_request = false;
+    bool m_is_request_waiting = false; ///< A request was read and may not run beside those in progress.
     bool m_has_read_request = false;
     steady_time m_first_request_deadline = steady_time::max();
     bool m_pending_may_run_concurrently = true;
--- a/Tests/Gateway/test_caller_server.cpp
+++ b/Tests/Gateway/test_caller_server.cpp
@@ -6,7 +6,10 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/fiber/operations.hpp>
 
+#include <array>
+#include <atomic>
 #include <memory>
 #include <string>
 #include <thread>
@@ -147,3 +150,73 @@
         }
     }
 }
+
+namespace {
+
+struct waiting_request_case {
+    char const* name;
+    char const* connection; ///< What the first request states.
+    int expected_handled;
+};
+
+std::array<waiting_request_case, 2> const waiting_request_cases{{
+    {"the first request keeps the connection", "keep-alive", 2},
+    {"the first request closes the connection", "close", 1},
+}};
+
+} // namespace
+
+TEST_GROUP(caller_server_stops) {
+    io_thread thread{"test"};
+    std::atomic<int> handled_count = 0;
+    std::unique_ptr<caller_server> server;
+
+    void setup() override {
+        thread.run_and_wait([this] {
+            server = std::make_unique<caller_server>(
+                thread, endpoint{"127.0.0.1", 0},
+                caller_server_callbacks{.handle =
+                                            [this](http_request&, interruption_notifier&, steady_time) {
+                                                ++handled_count;
+                                                boost::this_fiber::sleep_for(std::chrono::milliseconds(50));
+                                                return make_response(200, "text/plain", "done");
+                                            },
+                                        .may_run_concurrently = [](http_request const&) { return false; },
+                                        .limits = [] { return caller_limits{}; }});
+            server->start();
+        });
+    }
+
+    void teardown() override {
+        thread.run_and_wait([this] { server->stop_listening(); });
+        thread.stop();
+    }
+};
+
+// Guards against a request that is read behind one in progress, run, and answered after a response that
+// closes the connection (LOST of issue 33): its caller has left by then.
+TEST(caller_server_stops, no_request_runs_behind_a_response_that_closes_the_connection) {
+    for (auto const& each : waiting_request_cases) {
+        handled_count = 0;
+        asio::io_context io;
+        asio::ip::tcp::socket socket(io);
+        auto const address = server->local_address();
+        socket.connect({asio::ip::make_address(address.address), address.port});
+        auto const first =
+            "PUT /a HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\nConnection: " + std::string(each.connection) +
+            "\r\n\r\n";
+        asio::write(socket, asio::buffer(first + "GET /b HTTP/1.1\r\nHost: a\r\n\r\n"));
+        while (handled_count == 0) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
+        thread.run_and_wait([this] { server->begin_drain(); });
+        std::string responses;
+        boost::system::error_code error;
+        asio::read(socket, asio::dynamic_buffer(responses), error);
+        LONGS_EQUAL_TEXT(each.expected_handled, handled_count.load(), each.name);
+        auto const close = responses.find("Connection: close");
+        CHECK_TEXT(close != std::string::npos, each.name);
+        // Nothing follows the response that closes.
+        CHECK_TEXT(responses.find("HTTP/1.1", close) == std::string::npos, each.name);
+    }
+}
