Gateway: Bound the memory of all responses in progress together

Cause: each response was bounded (16 MB), all of them together were not. Ruled out: endless headers, interim responses, chunk extensions and trailers, which test_endless_responses covers already.

A body for which nothing is left ends its exchange as incomplete.

--- a/Libraries/Gateway/gateway/target_client.cpp
+++ b/Libraries/Gateway/gateway/target_client.cpp
@@ -160,7 +160,9 @@
         parser.body_limit(m_limits.max_response_bytes);
         parser.skip(request.method() == http::verb::head);
         boost::system::error_code error;
-        read_message(target_connection.stream, target_connection.buffer, parser, error);
+        response_memory::share memory(m_response_memory);
+        read_message(target_connection.stream, target_connection.buffer, parser, error,
+                     [&memory](std::size_t body_bytes) { return memory.grow_to(body_bytes); });
         if (parser.is_header_done()) {
             read_notice(parser.get(), target_connection.notice);
         }
--- a/Libraries/Gateway/gateway/target_client.hpp
+++ b/Libraries/Gateway/gateway/target_client.hpp
@@ -4,6 +4,7 @@
 
 #include "base/endpoint.hpp"
 #include "gateway/forwarding_wire_format.hpp"
+#include "gateway/response_memory.hpp"
 #include "protocol/http_types.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -121,6 +122,7 @@
     boost::asio::io_context& m_io;
     forwarding_wire_format const& m_wire_format;
     target_client_limits m_limits;
+    response_memory m_response_memory;
     std::map<connection_key, std::deque<std::shared_ptr<connection>>> m_idle_connections;
 };
 
--- a/Libraries/Protocol/protocol/message_reading.hpp
+++ b/Libraries/Protocol/protocol/message_reading.hpp
@@ -44,4 +44,19 @@
     }
 }
 
+/// Like `read_message`, for a parser with a string as its body: `admit(size)` is called with the size of the
+/// body after each part of it, and when it returns false the read ends with `body_limit`.
+template<class Parser, class Admit>
+void read_message(boost::beast::tcp_stream& stream, boost::beast::flat_buffer& buffer, Parser& parser,
+                  boost::system::error_code& error, Admit const& admit) {
+    read_header(stream, buffer, parser, error);
+    parser.eager(true);
+    while (!error && !parser.is_done()) {
+        boost::beast::http::async_read_some(stream, buffer, parser, use_fiber(error));
+        if (!error && !admit(parser.get().body().size())) {
+            error = boost::beast::http::error::body_limit;
+        }
+    }
+}
+
 } // namespace pomelospread
--- a/Tests/Processes/platform_stand_in.py
+++ b/Tests/Processes/platform_stand_in.py
@@ -302,6 +302,15 @@
             if behaviour == "cuthead":
                 connection.sendall(f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\nServer-Signature: s\r\n".encode())
                 return
+            if behaviour == "endless":
+                connection.sendall(f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\nServer-Signature: s\r\n"
+                                   "Transfer-Encoding: chunked\r\n\r\n".encode())
+                chunk = b"10000\r\n" + bytes(65536) + b"\r\n"
+                until = time.monotonic() + 10
+                while time.monotonic() < until:
+                    connection.sendall(chunk)
+                    time.sleep(0.004)  # Leaves processor time to the other stand-ins of this process.
+                return
             if behaviour == "unmarked":
                 connection.sendall(f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\n"
                                    "Content-Length: 2\r\n\r\nno".encode())
--- a/Tests/Processes/test_forwarding.py
+++ b/Tests/Processes/test_forwarding.py
@@ -396,6 +396,23 @@
         self.assertEqual(received, [200])
         self.assertEqual(self.instance.child.wait(10), 0)
 
+    # Guards against a target whose responses without end fill the instance's memory (operators' report in issue 33).
+    def test_responses_without_end_leave_memory_for_other_requests(self):
+        for number in range(9):
+            self.publish_target(TargetStandIn(f"i-more{number}"), "only")
+        self.wait_until(lambda: self.instance.log_path.read_text().count("targets=12 ") > 0)
+        statuses = []
+        callers = [threading.Thread(target=lambda number=number: statuses.append(
+            self.instance.send_request("/write/endless", f"e{number}", "POST")[0])) for number in range(60)]
+        for caller in callers:
+            caller.start()
+        while any(caller.is_alive() for caller in callers):
+            self.assertEqual(self.instance.send_request("/read/plain", f"n{time.monotonic_ns()}")[0], 200)
+        self.assertEqual(set(statuses) - {502, 503, 504}, set())
+        status = pathlib.Path(f"/proc/{self.instance.child.pid}/status").read_text()
+        peak_kb = int(status.split("VmHWM:")[1].split()[0])
+        self.assertLess(peak_kb, 260 * 1024)  # The memory of a small instance.
+
     # Guards against payments that are passed on late in the grace period and cut at its end (review/2).
     def test_planned_stop_refuses_requests_that_could_outlast_it(self):
         results = []
