Tests: Run the seeds of both soaks by one function

planned_work.py repeated the loop of soak.py that runs each seed, prints its result and keeps the logs of a failed one. Both call run_seeds now; the checks and bounds are as they were.

--- a/Tests/Soak/planned_work.py
+++ b/Tests/Soak/planned_work.py
@@ -4,13 +4,11 @@
 gets its complete response. The seed fixes the sequence of random numbers, not their times."""
 import argparse
 import collections
-import json
 import pathlib
 import random
 import signal
 import socket
 import sys
-import tempfile
 import threading
 import time
 
@@ -19,6 +17,7 @@
 import fleet as fleets  # noqa: E402
 from platform_stand_in import (  # noqa: E402
     ForwardingInstance, PlatformStore, TargetStandIn, make_manifest, make_route, make_target_entry, read_http_message)
+from seeded_runs import run_seeds  # noqa: E402
 
 LISTENERS = ("callers", "readiness", "addresses", "peers", "metrics")
 DEADLINE_MS = 1500
@@ -221,23 +220,9 @@
     parser.add_argument("--callers", type=int, default=24, help="1 to 400")
     parser.add_argument("--keep", help="folder for the logs of failed runs")
     options = parser.parse_args()
-    failed = 0
-    for seed in options.seed or [time.time_ns() % 10**9]:
-        with tempfile.TemporaryDirectory() as folder:
-            work = PlannedWork(seed, options.seconds, folder, options.instances, options.callers)
-            try:
-                result = work.run()
-            finally:
-                work.kill_instances()
-            print(json.dumps({"seed": seed, "seconds": options.seconds, **result}), flush=True)
-            if result["problems"]:
-                failed += 1
-                if options.keep:
-                    kept_folder = pathlib.Path(options.keep) / str(seed)
-                    kept_folder.mkdir(parents=True, exist_ok=True)
-                    for log in pathlib.Path(folder).glob("*.log"):
-                        (kept_folder / log.name).write_bytes(log.read_bytes())
-    return 1 if failed else 0
+    return run_seeds(
+        options.seed or [time.time_ns() % 10**9], options.seconds, options.keep,
+        lambda seed, folder: PlannedWork(seed, options.seconds, folder, options.instances, options.callers))
 
 
 if __name__ == "__main__":
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -7,13 +7,11 @@
 and for what depends on wall-clock time, so runs with the same seed make only approximately the same plan."""
 import argparse
 import collections
-import json
 import pathlib
 import random
 import signal
 import socket
 import sys
-import tempfile
 import threading
 import time
 
@@ -23,6 +21,7 @@
 from platform_stand_in import (  # noqa: E402
     ForwardingInstance, PlatformStore, TargetStandIn, TcpServer, make_manifest, make_route, make_target_entry,
     read_http_message)
+from seeded_runs import run_seeds  # noqa: E402
 
 LISTENERS = ("callers", "readiness", "addresses", "peers", "metrics")
 ROUTES = [make_route("read", "safe", "s", 1.5), make_route("write", "unsafe", "s", 1.5),
@@ -365,25 +364,8 @@
     parser.add_argument("--keep", help="folder for the logs of failed runs")
     options = parser.parse_args()
     seeds = options.seed or [time.time_ns() % 10**9 + i for i in range(options.seeds)]
-    failed = 0
-    for seed in seeds:
-        folder = tempfile.TemporaryDirectory()
-        soak = Soak(seed, options.seconds, folder.name)
-        try:
-            result = soak.run()
-        finally:
-            soak.kill_instances()
-        print(json.dumps({"seed": seed, "seconds": options.seconds, **result}), flush=True)
-        if result["problems"]:
-            failed += 1
-            print("\n".join(soak.event_log), flush=True)
-            if options.keep:
-                kept_folder = pathlib.Path(options.keep) / str(seed)
-                kept_folder.mkdir(parents=True, exist_ok=True)
-                for log in pathlib.Path(folder.name).glob("*.log"):
-                    (kept_folder / log.name).write_bytes(log.read_bytes())
-        folder.cleanup()
-    return 1 if failed else 0
+    return run_seeds(seeds, options.seconds, options.keep, lambda seed, folder: Soak(seed, options.seconds, folder),
+                     lambda soak: print("\n".join(soak.event_log), flush=True))
 
 
 if __name__ == "__main__":
