--- a/Tests/Platform/test_document_codec.cpp
+++ b/Tests/Platform/test_document_codec.cpp
@@ -40,6 +40,20 @@
     STRCMP_EQUAL("/health", tables.pools.front().health_path.c_str());
 }
 
+TEST(document_codec, downloads_are_idempotent_and_unknown_kinds_are_not) {
+    // A download that counts as not idempotent would get no retry; an unknown kind that counts as idempotent
+    // could run twice.
+    struct row {
+        char const* kind;
+        bool is_idempotent;
+    };
+    for (auto const& [kind, is_idempotent] :
+         std::array<row, 4>{{{"safe", true}, {"download", true}, {"unsafe", false}, {"ordered", false}}}) {
+        auto const document = replaced(manifest, "\"unsafe\"", "\"" + std::string(kind) + "\"");
+        CHECK_EQUAL(is_idempotent, platform::decode_manifest(document).routes.front().idempotent);
+    }
+}
+
 TEST(document_codec, rejects_malformed_manifests) {
     std::array<std::string, 6> const malformed_manifests{
         "",
