Gateway: Serve workspaces with keys and fleet-wide rates, evacuated zones and cold targets

Cause: tables with workspaces were read without them, so keys were passed on to targets, withdrawn keys still worked, rates were not kept, and evacuations were not obeyed. Off unless the tables declare workspaces or warm-up rates or the store holds an evacuation; then nothing is sent or stored. Rates are kept by escrow of tokens among the home instances (docs/design/workspaces-and-uneven-load.md).

--- a/Libraries/Base/base/metrics.cpp
+++ b/Libraries/Base/base/metrics.cpp
@@ -61,7 +61,11 @@
     "snapshot_bytes_other_zones",
     "requests_without_route",
 
-    "refused_targets_paused"};
+    "refused_targets_paused",
+    "requests_without_workspace",
+    "refused_over_rate",
+    "token_bytes_own_zone",
+    "token_bytes_other_zones"};
 
 void append_sample(std::string& text, std::string_view name, std::string_view suffix, std::string_view labels,
                    std::string const& value) {
--- a/Libraries/Base/base/metrics.hpp
+++ b/Libraries/Base/base/metrics.hpp
@@ -68,6 +68,10 @@
     snapshot_bytes_other_zones,
     requests_without_route,
     refused_targets_paused,
+    requests_without_workspace,
+    refused_over_rate,
+    token_bytes_own_zone,
+    token_bytes_other_zones,
     count,
 };
 
--- a/Libraries/Coordination/coordination/platform_store.hpp
+++ b/Libraries/Coordination/coordination/platform_store.hpp
@@ -5,6 +5,7 @@
 #include "coordination/platform.hpp"
 #include "coordination/store_version.hpp"
 #include "coordination/target_list_cache.hpp"
+#include "coordination/zone_evacuations.hpp"
 #include "state/routing_tables.hpp"
 
 #include <chrono>
@@ -19,6 +20,9 @@
 struct tables_snapshot {
     store_version position;
     std::optional<routing_tables> content; ///< Empty when no tables, or no newer ones, were declared.
+    /// The evacuations that changed since the position of the read; of a complete read, those in force.
+    std::vector<zone_evacuation> evacuations{};
+    bool is_complete = false; ///< The result of `read_tables`.
 };
 
 /// Calls suspend the calling fiber. Each throws `platform_unavailable` or `platform_outcome_unknown`, or
--- a/Libraries/Coordination/coordination/target_selector.cpp
+++ b/Libraries/Coordination/coordination/target_selector.cpp
@@ -66,6 +66,7 @@
         m_exclusions.record_listed(incarnation, now);
         state.announced_leaving = m_exclusions.is_leaving(incarnation);
         state.paused_until = m_exclusions.paused_until(incarnation);
+        state.is_evacuated = m_evacuated_zones.contains(listed.zone);
         next.emplace(listed.id, std::move(state));
     }
     m_exclusions.drop_expired(now);
@@ -84,6 +85,25 @@
             state.slot_claim_rank = pomelospread::slot_claim_rank(id, self, homes);
         }
     }
+    m_pools[std::string(pool)].home_count = std::max<std::size_t>(1, homes.size());
+}
+
+void target_selector::set_warm_up(std::string_view pool, double requests_per_second,
+                                  std::chrono::milliseconds time) {
+    auto& state = m_pools[std::string(pool)];
+    state.warm_up_requests_per_second = requests_per_second;
+    state.warm_up_time = time;
+}
+
+void target_selector::set_evacuated_zones(std::set<std::string, std::less<>> zones, time_point now) {
+    m_evacuated_zones = std::move(zones);
+    for (auto& [id, state] : m_targets) {
+        bool const was_evacuated =
+            std::exchange(state.is_evacuated, m_evacuated_zones.contains(state.listed.zone));
+        if (was_evacuated && !state.is_evacuated) {
+            state.cold_until = now + m_pools[state.listed.pool].warm_up_time;
+        }
+    }
 }
 
 std::uint32_t target_selector::claim_rank(std::string const& id) const {
@@ -224,11 +244,22 @@
 }
 
 bool target_selector::is_usable(target_state const& state) {
-    return !state.disabled && !state.listed.leaving && !state.announced_leaving;
+    return !state.disabled && !state.listed.leaving && !state.announced_leaving && !state.is_evacuated;
+}
+
+bool target_selector::is_cold(target_state const& state, time_point now) {
+    auto const listed_until =
+        state.list_updated_at + std::chrono::milliseconds(state.listed.warm_up_remaining_ms);
+    return std::max(listed_until, state.cold_until) > now;
 }
 
-bool target_selector::is_usable_at(target_state const& state, time_point now) {
-    return is_usable(state) && state.paused_until <= now;
+bool target_selector::is_usable_at(target_state const& state, pool_state const& pool, time_point now) const {
+    if (!is_usable(state) || state.paused_until > now) {
+        return false;
+    }
+    return pool.warm_up_requests_per_second <= 0 || !is_cold(state, now) ||
+           state.cold_budget.is_available(pool.warm_up_requests_per_second, state.slot_claim_rank,
+                                          pool.home_count, m_policy.cold_targets, now);
 }
 
 target_selector::candidate_estimate
@@ -245,9 +276,8 @@
     }
     auto const slots = static_cast<double>(std::max<std::int64_t>(1, state.listed.slots));
     auto const load = state.in_flight + others + 1.0;
-    auto const warm_at = state.list_updated_at + std::chrono::milliseconds(state.listed.warm_up_remaining_ms);
     auto const unloaded_service_ms =
-        typical_ms * slowdown * (warm_at > now ? m_policy.cold_start_factor : 1.0);
+        typical_ms * slowdown * (is_cold(state, now) ? m_policy.cold_start_factor : 1.0);
     auto service_ms = unloaded_service_ms;
     auto const fill = std::min(1.0, load / slots);
     if (fill > nearly_full_threshold) {
@@ -275,7 +305,8 @@
     std::vector<candidate_estimate> estimates;
     estimates.reserve(pool.targets.size());
     for (auto const* target : pool.targets) {
-        if (is_usable_at(*target, now) && std::ranges::find(excluded, target->listed.id) == excluded.end()) {
+        if (is_usable_at(*target, pool, now) &&
+            std::ranges::find(excluded, target->listed.id) == excluded.end()) {
             estimates.push_back(estimate_candidate(*target, pool, now));
         }
     }
@@ -379,6 +410,7 @@
     if (auto const found = m_targets.find(id); found != m_targets.end()) {
         ++found->second.in_flight;
         found->second.load_changed_at = now;
+        found->second.cold_budget.record_request(now);
     }
 }
 
@@ -431,6 +463,9 @@
     }
     state.reported_at = received;
     state.slowdown = std::clamp(value.slowdown, 0.1, 100.0);
+    if (value.warm_up_remaining) {
+        state.cold_until = received + *value.warm_up_remaining;
+    }
     auto const reported_load = static_cast<double>(value.running) + value.waiting;
     state.inferred_other_in_flight =
         std::max(0.0, reported_load - state.in_flight - peers_in_flight(state, received));
@@ -469,7 +504,7 @@
         return first;
     }
     for (auto const* target : found->second.targets) {
-        if (is_usable_at(*target, now)) {
+        if (is_usable(*target) && target->paused_until <= now) {
             return std::nullopt;
         }
         if (is_usable(*target)) {
@@ -494,7 +529,8 @@
         return 0;
     }
     return static_cast<std::size_t>(std::ranges::count_if(found->second.targets, [&](auto const* target) {
-        return is_usable_at(*target, now) && std::ranges::find(excluded, target->listed.id) == excluded.end();
+        return is_usable_at(*target, found->second, now) &&
+               std::ranges::find(excluded, target->listed.id) == excluded.end();
     }));
 }
 
--- a/Libraries/Coordination/coordination/target_selector.hpp
+++ b/Libraries/Coordination/coordination/target_selector.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "base/random.hpp"
+#include "coordination/cold_target_limits.hpp"
 #include "coordination/slot_claims.hpp"
 #include "coordination/target_exclusions.hpp"
 #include "coordination/target_list_cache.hpp"
@@ -27,6 +28,8 @@
     std::uint32_t waiting = 0;
     std::uint32_t slots = 1;
     double slowdown = 1.0; ///< Current service time as a multiple of the typical one.
+    /// How long the target is still cold; nothing when the response does not say.
+    std::optional<std::chrono::milliseconds> warm_up_remaining{};
 };
 
 struct target_selector_policy {
@@ -63,6 +66,7 @@
     /// share, so that instances with the same data do not all choose the same target.
     double tie_tolerance = 0.1;
     slot_claim_policy slot_claims;
+    cold_target_policy cold_targets;
 };
 
 /// The hash that stands for a target's id in messages between instances.
@@ -122,6 +126,13 @@
     /// Called again when targets or homes changed; before the first call, this instance comes first.
     void set_slot_claims(std::string_view pool, endpoint const& self, std::set<endpoint> const& homes);
 
+    /// Sets how many requests per second a cold target of the pool tolerates, 0 for any number, and how long
+    /// a target is cold that became so without a report.
+    void set_warm_up(std::string_view pool, double requests_per_second, std::chrono::milliseconds time);
+    /// No request or load probe is sent to the targets of these zones. When the evacuation of a zone ends,
+    /// its targets may have become cold and count as such for their pool's warm-up time.
+    void set_evacuated_zones(std::set<std::string, std::less<>> zones, time_point now);
+
     /// Chooses the target of the pool with the least expected time, at random among near ties. Returns
     /// nothing when no target may be used.
     [[nodiscard]] std::optional<target_choice> choose(std::string_view pool,
@@ -191,6 +202,9 @@
         listed_target listed;
         time_point list_updated_at;
         bool disabled = false;
+        bool is_evacuated = false;
+        time_point cold_until{}; ///< Beyond what the list states.
+        cold_target_budget cold_budget;
         // As in `m_exclusions`, without a look-up for each choice.
         bool announced_leaving = false;
         time_point paused_until{};
@@ -223,10 +237,14 @@
         double typical_service_ms = 0;            ///< Without slowdown.
         double mean_service_ms = 0;               ///< As measured.
         double mean_slowdown = 1.5;
+        double warm_up_requests_per_second = 0; ///< 0: unlimited.
+        std::chrono::milliseconds warm_up_time{0};
+        std::size_t home_count = 1;
     };
 
     [[nodiscard]] static bool is_usable(target_state const& state);
-    [[nodiscard]] static bool is_usable_at(target_state const& state, time_point now);
+    [[nodiscard]] bool is_usable_at(target_state const& state, pool_state const& pool, time_point now) const;
+    [[nodiscard]] static bool is_cold(target_state const& state, time_point now);
     [[nodiscard]] std::vector<candidate_estimate>
     estimate_candidates(pool_state const& pool, std::span<std::string const> excluded, time_point now) const;
     /// The best values of a pool, with which its targets are compared.
@@ -263,6 +281,7 @@
     target_exclusions m_exclusions;
     std::map<std::string, pool_state, std::less<>> m_pools;
     std::unordered_map<std::uint32_t, std::string> m_id_by_hash;
+    std::set<std::string, std::less<>> m_evacuated_zones;
 };
 
 } // namespace pomelospread
--- a/Libraries/Gateway/gateway/fleet_datagram_socket.cpp
+++ b/Libraries/Gateway/gateway/fleet_datagram_socket.cpp
@@ -18,11 +18,13 @@
 constexpr auto receive_retry_delay = std::chrono::milliseconds(50);
 
 /// The counters of the bytes sent within the own zone and to other zones, by `datagram_kind`.
-constexpr std::array<std::pair<counter, counter>, 4> byte_counters{
+constexpr std::array<std::pair<counter, counter>, 6> byte_counters{
     {{counter::heartbeat_bytes_own_zone, counter::heartbeat_bytes_other_zones},
      {counter::announcement_bytes_own_zone, counter::announcement_bytes_other_zones},
      {counter::list_update_bytes_own_zone, counter::list_update_bytes_other_zones},
-     {counter::load_update_bytes_own_zone, counter::load_update_bytes_other_zones}}};
+     {counter::load_update_bytes_own_zone, counter::load_update_bytes_other_zones},
+     {counter::token_bytes_own_zone, counter::token_bytes_other_zones},
+     {counter::announcement_bytes_own_zone, counter::announcement_bytes_other_zones}}};
 
 } // namespace
 
--- a/Libraries/Gateway/gateway/fleet_messages.cpp
+++ b/Libraries/Gateway/gateway/fleet_messages.cpp
@@ -6,7 +6,9 @@
 #include "coordination/entry_checks.hpp"
 #include "protocol/cereal_codec.hpp"
 
+#include <cereal/types/array.hpp>
 #include <cereal/types/chrono.hpp>
+#include <cereal/types/optional.hpp>
 #include <xxhash.h>
 
 #include <vector>
@@ -51,6 +53,21 @@
     archive(value.tables, value.store_era, value.confirmed_age_ms);
 }
 
+template<class Archive>
+void serialize(Archive& archive, token_amount& value) {
+    archive(value.limit, value.units);
+}
+
+template<class Archive>
+void serialize(Archive& archive, token_transfer& value) {
+    archive(value.is_answer, value.request_id, value.amounts);
+}
+
+template<class Archive>
+void serialize(Archive& archive, zone_evacuation& value) {
+    archive(value.zone, value.changed_at, value.is_evacuated);
+}
+
 template<class Archive>
 void serialize(Archive& archive, fleet_datagram& value) {
     archive(value.kind, value.sent_ms, value.has_members);
@@ -69,6 +86,12 @@
     if (value.kind == datagram_kind::load_update) {
         archive(value.leaving_targets);
     }
+    if (value.kind == datagram_kind::token_transfer) {
+        archive(value.tokens);
+    }
+    if (value.kind == datagram_kind::evacuations) {
+        archive(value.evacuations);
+    }
 }
 
 template<class Archive>
@@ -80,7 +103,7 @@
 void serialize(Archive& archive, route_row& value) {
     archive(value.name, value.host, value.path_prefix, value.methods, value.pool, value.idempotent,
             value.deadline, value.hedge, value.customer_concurrency, value.weighted_pools,
-            value.latency_objective, value.priority, value.max_attempts);
+            value.latency_objective, value.priority, value.max_attempts, value.is_public);
 }
 
 template<class Archive>
@@ -91,7 +114,12 @@
 template<class Archive>
 void serialize(Archive& archive, pool_row& value) {
     archive(value.name, value.slots_per_target, value.connections_per_target, value.homes, value.health_path,
-            value.targets);
+            value.warm_up_requests_per_second, value.warm_up_time, value.targets);
+}
+
+template<class Archive>
+void serialize(Archive& archive, workspace_row& value) {
+    archive(value.name, value.key_digests, value.priority, value.requests_per_second, value.burst);
 }
 
 template<class Archive>
@@ -101,13 +129,13 @@
 
 template<class Archive>
 void serialize(Archive& archive, routing_tables& value) {
-    archive(value.version, value.limits, value.routes, value.pools);
+    archive(value.version, value.limits, value.routes, value.pools, value.workspaces);
 }
 
 template<class Archive>
 void serialize(Archive& archive, peer_snapshot& value) {
     archive(value.current_tables, value.tables_era, value.target_list_version, value.target_list_age_ms,
-            value.targets, value.retained_target_ids, value.members);
+            value.targets, value.retained_target_ids, value.members, value.evacuations);
 }
 
 std::uint64_t tables_digest(routing_tables const& tables) {
@@ -150,8 +178,8 @@
 
 fleet_datagram decode_datagram(std::string_view bytes) {
     auto message = detail::decode_message<fleet_datagram>(bytes);
-    if (message.kind > datagram_kind::load_update) {
-        throw malformed_message("the kind of the datagram is not one of 0 to 3");
+    if (message.kind > datagram_kind::evacuations) {
+        throw malformed_message("the kind of the datagram is not one of 0 to 5");
     }
     try {
         if (message.has_members) {
--- a/Libraries/Gateway/gateway/fleet_messages.hpp
+++ b/Libraries/Gateway/gateway/fleet_messages.hpp
@@ -4,6 +4,7 @@
 #include "coordination/membership.hpp"
 #include "coordination/target_list_cache.hpp"
 #include "coordination/target_selector.hpp"
+#include "coordination/zone_evacuations.hpp"
 #include "state/routing_tables.hpp"
 
 #include <cstdint>
@@ -64,12 +65,27 @@
     std::uint32_t confirmed_age_ms = 0; ///< Confirmations of earlier eras do not count.
 };
 
+/// Tokens of one fleet-wide rate limit.
+struct token_amount {
+    std::uint64_t limit = 0; ///< Hash of the name of the limit's workspace.
+    std::uint32_t units = 0; ///< Thousandths of a token.
+};
+
+/// A request for tokens of fleet-wide rate limits, or the answer with those that the sender gives.
+struct token_transfer {
+    bool is_answer = false;
+    std::uint64_t request_id = 0; ///< The same in the request and its answer.
+    std::vector<token_amount> amounts;
+};
+
 /// Why a datagram is sent. Relays forward announcements and list updates within their zone.
 enum class datagram_kind : std::uint8_t {
     heartbeat,
     announcement, ///< The sender joins, leaves or has newer tables.
     list_update,
     load_update,
+    token_transfer,
+    evacuations, ///< Zones whose evacuation began or ended.
 };
 
 /// One datagram; each part is optional.
@@ -84,6 +100,8 @@
     tables_state tables;
     std::vector<target_load_update> load_updates;
     std::vector<leaving_target_update> leaving_targets; ///< Sent only in a `load_update`.
+    token_transfer tokens;                              ///< Sent only in a `token_transfer`.
+    std::vector<zone_evacuation> evacuations;           ///< Sent only in `evacuations`.
 };
 
 /// The sender's tables, target list and members, for an instance that starts, possibly while the platform is
@@ -97,6 +115,7 @@
     std::vector<listed_target> targets;
     std::vector<std::string> retained_target_ids; ///< `target_list_snapshot::retained_ids`.
     std::vector<instance_entry> members;
+    std::vector<zone_evacuation> evacuations;
 };
 
 /// Hash of every field; equal tables have equal digests.
--- a/Libraries/Gateway/gateway/fleet_synchronizer.cpp
+++ b/Libraries/Gateway/gateway/fleet_synchronizer.cpp
@@ -98,6 +98,8 @@
       m_load_exchange(state, m_homes, [this](fleet_datagram const& message, endpoint const& to) {
           m_socket.send(message, to);
       }) {
+    m_state.rates.set_sender(
+        [this](fleet_datagram const& message, endpoint const& to) { m_socket.send(message, to); });
     m_store.set_era_observer([this](std::uint64_t era) { learn_store_era(era, "store"); });
 }
 
@@ -263,6 +265,11 @@
     if (result.content) {
         apply_tables(std::move(*result.content), result.position.era, "store");
     }
+    if (result.is_complete ? m_evacuations.apply_complete_read(result.evacuations, result.position)
+                           : m_evacuations.merge(result.evacuations)) {
+        apply_evacuations("store");
+        send_evacuations(m_plan.receivers());
+    }
     return result.content.has_value();
 }
 
@@ -378,6 +385,10 @@
     m_tables = offered;
     expect_table_poll_to_return();
     m_state.counters.add(counter::tables_applied);
+    for (auto const& pool : content.pools) {
+        m_state.selector.set_warm_up(pool.name, pool.warm_up_requests_per_second, pool.warm_up_time);
+    }
+    m_state.rates.set_limits(content);
     m_state.routes.store(std::make_shared<route_index const>(std::move(content)));
     if (m_plan.is_relay()) {
         m_socket.send_to_all(
@@ -386,6 +397,28 @@
     }
 }
 
+void fleet_synchronizer::apply_evacuations(std::string_view source) {
+    std::set<std::string, std::less<>> zones;
+    for (auto const& change : m_evacuations.changes()) {
+        if (change.is_evacuated) {
+            zones.insert(change.zone);
+        }
+        log_line(log_level::info, "evacuation_applied")
+            .field("zone", change.zone)
+            .field("evacuated", change.is_evacuated ? "yes" : "no")
+            .field("version", change.changed_at.number)
+            .field("era", change.changed_at.era)
+            .field("source", source)
+            .write();
+    }
+    m_state.selector.set_evacuated_zones(std::move(zones), clock::now());
+}
+
+void fleet_synchronizer::send_evacuations(std::span<endpoint const> receivers) {
+    m_socket.send_to_all({.kind = datagram_kind::evacuations, .evacuations = m_evacuations.changes()},
+                         receivers);
+}
+
 // Target list
 
 std::vector<poll_candidate> fleet_synchronizer::live_members() const {
@@ -554,6 +587,7 @@
         if (m_load_exchange.has_pending_updates()) {
             m_load_exchange.send_updates(m_membership.view(), m_membership.self().id);
         }
+        m_state.rates.send_requests();
     }
 }
 
@@ -567,9 +601,27 @@
     m_state.max_homes_per_host = m_homes.max_homes_per_host();
     m_state.extra_attempts.set_home_count(
         m_homes.is_home(m_membership.self().peer_address) ? m_homes.max_homes_per_host() : 0);
+    refresh_rate_holders(members);
     refresh_slot_claims();
 }
 
+void fleet_synchronizer::refresh_rate_holders(std::span<member_view const> members) {
+    std::map<endpoint, holder_status> known;
+    for (auto const& member : members) {
+        known[member.entry.peer_address] = member.status == member_status::alive     ? holder_status::alive
+                                           : member.status == member_status::leaving ? holder_status::gone
+                                                                                     : holder_status::silent;
+    }
+    m_rate_holders.refresh(
+        m_homes.all_peer_addresses(),
+        [&known](endpoint const& address) {
+            auto const found = known.find(address);
+            return found == known.end() ? holder_status::silent : found->second;
+        },
+        clock::now());
+    m_state.rates.set_holders(m_rate_holders.holders(), m_membership.self().peer_address);
+}
+
 void fleet_synchronizer::refresh_slot_claims() {
     for (auto const& pool : m_state.routes.load()->tables().pools) {
         auto const& homes = m_homes.peer_addresses_for_pool(pool.name);
@@ -655,6 +707,9 @@
                               .has_tables = true,
                               .tables = current_tables_state()},
                              receivers);
+        if (!m_evacuations.empty()) {
+            send_evacuations(receivers);
+        }
         refresh_plan();
         if (!is_ready() && ++unready_rounds % 4 == 0 && !m_is_fetching_snapshot) {
             if (auto const peer = choose_snapshot_peer(unready_rounds / 4)) {
@@ -710,6 +765,15 @@
         m_load_exchange.receive(message.load_updates, sender);
     }
     apply_leaving_updates(m_state, m_target_client, message.leaving_targets, now);
+    if (message.kind == datagram_kind::token_transfer) {
+        m_state.rates.receive(message.tokens, sender);
+    }
+    if (m_evacuations.merge(message.evacuations)) {
+        apply_evacuations("peer");
+        if (m_plan.is_relay()) {
+            send_evacuations(m_plan.zone_members());
+        }
+    }
 }
 
 void fleet_synchronizer::schedule_snapshot_fetch(endpoint const& sender, std::function<bool()> is_behind) {
@@ -754,6 +818,9 @@
             learn_store_era(snapshot.tables_era, "peer");
             apply_tables(std::move(snapshot.current_tables), snapshot.tables_era, "peer");
         }
+        if (m_evacuations.merge(snapshot.evacuations)) {
+            apply_evacuations("peer");
+        }
         auto const previous = m_target_list.current();
         learn_store_era(snapshot.target_list_version.era, "peer");
         if (snapshot.target_list_version != store_version{} &&
@@ -793,7 +860,7 @@
 }
 
 peer_snapshot fleet_synchronizer::make_snapshot(snapshot_request const& request) const {
-    peer_snapshot snapshot;
+    peer_snapshot snapshot{.evacuations = m_evacuations.changes()};
     if (m_tables.supersedes(request.tables)) {
         snapshot.current_tables = m_state.routes.load()->tables();
         snapshot.tables_era = m_tables.era;
@@ -847,6 +914,8 @@
         .field("list_update_bytes_other_zones", counters.value(counter::list_update_bytes_other_zones))
         .field("load_update_bytes_own_zone", counters.value(counter::load_update_bytes_own_zone))
         .field("load_update_bytes_other_zones", counters.value(counter::load_update_bytes_other_zones))
+        .field("token_bytes_own_zone", counters.value(counter::token_bytes_own_zone))
+        .field("token_bytes_other_zones", counters.value(counter::token_bytes_other_zones))
         .field("snapshot_bytes_own_zone", counters.value(counter::snapshot_bytes_own_zone))
         .field("snapshot_bytes_other_zones", counters.value(counter::snapshot_bytes_other_zones))
         .write();
--- a/Libraries/Gateway/gateway/fleet_synchronizer.hpp
+++ b/Libraries/Gateway/gateway/fleet_synchronizer.hpp
@@ -6,6 +6,7 @@
 #include "coordination/list_poll_schedule.hpp"
 #include "coordination/membership.hpp"
 #include "coordination/platform_store.hpp"
+#include "coordination/rate_holders.hpp"
 #include "coordination/target_list_cache.hpp"
 #include "coordination/transit_delay_estimator.hpp"
 #include "gateway/fleet_datagram_socket.hpp"
@@ -88,6 +89,8 @@
     void wait_until_joined();
     /// Recomputes what follows from the members: the paths of changes, the homes, the budgets.
     void refresh_plan();
+    /// Recomputes among whom the rates of workspaces are divided.
+    void refresh_rate_holders(std::span<member_view const> members);
     /// Recomputes the order in which homes use the targets' last slots where homes or targets changed.
     void refresh_slot_claims();
     /// Whom to ask while this instance is not ready: in turn a relay of its zone and anybody.
@@ -107,6 +110,9 @@
     void apply_tables(routing_tables content, std::uint64_t era, std::string_view source);
     void apply_targets(std::string_view source);
     void schedule_apply_targets();
+    /// Puts the evacuations in force that are known now.
+    void apply_evacuations(std::string_view source);
+    void send_evacuations(std::span<endpoint const> receivers);
     void broadcast_target_list_updates(std::vector<target_list_update> updates,
                                        std::vector<endpoint> const& receivers);
     [[nodiscard]] fleet_datagram make_announcement();
@@ -129,6 +135,8 @@
     platform_store& m_store;
     membership m_membership;
     target_list_cache m_target_list;
+    zone_evacuations m_evacuations;
+    rate_holders m_rate_holders;
     list_poll_schedule m_list_poll_schedule;
     distribution_plan m_plan;
     transit_delay_estimator m_transit_delays;
--- a/Libraries/Gateway/gateway/forwarding_state.cpp
+++ b/Libraries/Gateway/gateway/forwarding_state.cpp
@@ -23,8 +23,9 @@
                                    instance_id self)
     : settings(std::move(initial_settings)), wire_format(format),
       routes(std::make_shared<route_index const>(routing_tables{})),
-      selector(settings.zone, target_selector_policy{}),
+      selector(settings.zone, {.cold_targets = {.fleet_slack = settings.cold_target_slack}}),
       extra_attempts(settings.extra_attempt_ratio, settings.extra_attempt_burst),
+      rates({.fleet_slack = settings.workspace_rate_slack}),
       account(self, settings.journal_capacity, counters) {}
 
 double forwarding_state::probes_per_second(std::string const& target) const {
--- a/Libraries/Gateway/gateway/forwarding_state.hpp
+++ b/Libraries/Gateway/gateway/forwarding_state.hpp
@@ -8,6 +8,7 @@
 #include "entry/account_recorder.hpp"
 #include "gateway/forwarding_wire_format.hpp"
 #include "gateway/gateway_settings.hpp"
+#include "gateway/workspace_rates.hpp"
 #include "state/rcu_snapshot.hpp"
 #include "state/route_index.hpp"
 
@@ -51,6 +52,7 @@
     target_selector selector;
     std::size_t max_homes_per_host = 1; ///< Largest number of homes that the callers of one host have.
     extra_attempt_budgets extra_attempts;
+    workspace_rates rates;
     load_change_collector pending_load_changes;
     metrics counters;
     account_recorder account;
--- a/Libraries/Gateway/gateway/forwarding_wire_format.cpp
+++ b/Libraries/Gateway/gateway/forwarding_wire_format.cpp
@@ -1,5 +1,6 @@
 #include "gateway/forwarding_wire_format.hpp"
 
+#include "coordination/entry_checks.hpp"
 #include "protocol/platform_client.hpp"
 
 #include <nlohmann/json.hpp>
@@ -34,6 +35,16 @@
                        .slowdown = static_cast<double>(std::max(1U, values[3])) / 100.0};
 }
 
+std::optional<std::chrono::milliseconds> forwarding_wire_format::parse_warm_up(std::string_view text) const {
+    std::int64_t value = 0;
+    auto const* const end = text.data() + text.size();
+    auto const parsed = std::from_chars(text.data(), end, value);
+    if (parsed.ec != std::errc() || parsed.ptr != end || value < 0 || value > entry_limits::max_warm_up_ms) {
+        return std::nullopt;
+    }
+    return std::chrono::milliseconds(value);
+}
+
 std::optional<std::chrono::nanoseconds>
 forwarding_wire_format::parse_retry_after(std::string_view text) const {
     double seconds = 0;
--- a/Libraries/Gateway/gateway/forwarding_wire_format.hpp
+++ b/Libraries/Gateway/gateway/forwarding_wire_format.hpp
@@ -36,12 +36,20 @@
     /// A target states with the value 1 that it leaves.
     std::string leaving_header{header::leaving};
     std::string retry_after_header = "Retry-After";
+    /// A caller's key, which names a workspace. Never forwarded.
+    std::string key_header = "Pomelospread-Key";
+    /// The name of the caller's workspace, set on requests to targets.
+    std::string workspace_header = "Pomelospread-Workspace";
+    /// How long a target is still cold, in milliseconds; in responses to load probes.
+    std::string warm_up_header = "Pomelospread-Warm-Up-Ms";
     std::string ready_path = "/.pomelospread/ready";
     std::string addresses_path{"/.pomelospread/addresses"};
 
     /// Parses the load header field of a response: running, waiting, slots and optionally the slowdown in
     /// percent.
     [[nodiscard]] virtual std::optional<load_report> parse_load(std::string_view text) const;
+    /// Parses a remaining warm-up time: milliseconds, at most `entry_limits::max_warm_up_ms`.
+    [[nodiscard]] virtual std::optional<std::chrono::milliseconds> parse_warm_up(std::string_view text) const;
     /// Parses the time that a refusal asks to wait: seconds, which may have a fraction, at most
     /// `max_retry_after`. Nothing when the text is no such number.
     [[nodiscard]] virtual std::optional<std::chrono::nanoseconds>
--- a/Libraries/Gateway/gateway/gateway_settings.cpp
+++ b/Libraries/Gateway/gateway/gateway_settings.cpp
@@ -40,6 +40,12 @@
 DEFINE_int64(direct_fleet_size, 24,
              "Fleets up to this size send changes to each instance; larger ones use relays. 1 to 1000.");
 DEFINE_bool(first_start, false, "The entire fleet starts now; registrations are then spread over 2 s.");
+DEFINE_double(workspace_slack, 20,
+              "Requests beyond rate and burst that are tolerated of a workspace, over the entire fleet, 0 to "
+              "100000.");
+DEFINE_double(cold_slack, 8,
+              "Requests beyond its rate that a cold target may get in a second, over the entire fleet, 0 to "
+              "1000.");
 DEFINE_int64(account_capacity, 20000, "Account records held in memory, 100 to 10000000.");
 
 namespace pomelospread {
@@ -53,6 +59,7 @@
 constexpr double used_ratio_share = 0.8;
 constexpr double used_burst_share = 0.6;
 constexpr double used_probe_rate_share = 0.7;
+constexpr double used_workspace_slack_share = 0.4;
 
 class settings_reader : private flag_validator {
 public:
@@ -88,6 +95,9 @@
         result.log_lines_per_second =
             static_cast<std::uint32_t>(checked_integer("log_lines_per_s", FLAGS_log_lines_per_s, 1, 1000000));
         result.max_direct_fleet_size = checked_count("direct_fleet_size", FLAGS_direct_fleet_size, 1, 1000);
+        result.workspace_rate_slack =
+            checked_number("workspace_slack", FLAGS_workspace_slack, 0, 100000) * used_workspace_slack_share;
+        result.cold_target_slack = checked_number("cold_slack", FLAGS_cold_slack, 0, 1000);
         result.is_first_start = FLAGS_first_start;
         result.journal_capacity = checked_count("account_capacity", FLAGS_account_capacity, 100, 10000000);
         throw_if_invalid();
--- a/Libraries/Gateway/gateway/gateway_settings.hpp
+++ b/Libraries/Gateway/gateway/gateway_settings.hpp
@@ -39,6 +39,9 @@
     std::chrono::milliseconds fresh_report_max_age{25};
     std::size_t max_direct_fleet_size = 24; ///< A larger fleet distributes changes through relays.
     bool is_first_start = false; ///< The fleet starts as a whole, so all instances register at once.
+    /// Requests beyond rate and burst that are tolerated of a workspace, over the fleet.
+    double workspace_rate_slack = 20;
+    double cold_target_slack = 8; ///< Requests beyond its rate that a cold target gets in a second.
     std::size_t journal_capacity = 20000;
     std::uint32_t log_lines_per_second = 500; ///< Limit for each event.
 };
--- a/Libraries/Gateway/gateway/home_directory.cpp
+++ b/Libraries/Gateway/gateway/home_directory.cpp
@@ -65,6 +65,14 @@
                                [&](auto const& entry) { return entry.second.contains(peer_address); });
 }
 
+std::set<endpoint> home_directory::all_peer_addresses() const {
+    std::set<endpoint> result;
+    for (auto const& [pool, addresses] : m_peer_addresses) {
+        result.insert(addresses.begin(), addresses.end());
+    }
+    return result;
+}
+
 std::set<endpoint> const& home_directory::peer_addresses_for_pool(std::string const& pool) const {
     static std::set<endpoint> const no_addresses;
     auto const found = m_peer_addresses.find(pool);
--- a/Libraries/Gateway/gateway/home_directory.hpp
+++ b/Libraries/Gateway/gateway/home_directory.hpp
@@ -33,6 +33,8 @@
     [[nodiscard]] std::size_t max_homes_per_host() const noexcept { return m_max_homes_per_host; }
     /// Whether the instance at this peer address is a home of any pool.
     [[nodiscard]] bool is_home(endpoint const& peer_address) const;
+    /// The peer addresses of the homes of any pool.
+    [[nodiscard]] std::set<endpoint> all_peer_addresses() const;
     /// The peer addresses of the pool's homes in all zones.
     [[nodiscard]] std::set<endpoint> const& peer_addresses_for_pool(std::string const& pool) const;
 
--- a/Libraries/Gateway/gateway/request_dispatcher.cpp
+++ b/Libraries/Gateway/gateway/request_dispatcher.cpp
@@ -87,6 +87,10 @@
     return milliseconds(std::min(value, routing_table_limits::max_deadline_ms));
 }
 
+std::string_view error_name(unsigned status) {
+    return status == 404 ? "no_route" : status == 401 ? "unknown_key" : "unknown";
+}
+
 } // namespace
 
 struct request_dispatcher::request_state {
@@ -95,6 +99,8 @@
     steady_time received;
     std::shared_ptr<route_index const> routes;
     route_row const* route = nullptr;
+    workspace_row const* workspace = nullptr; ///< Of the caller's key.
+    bool has_rate_token = false;
     std::string id;
     std::string pool;
     steady_time deadline;                ///< The earlier of the caller's and the route's.
@@ -104,6 +110,9 @@
     std::string last_target;
     std::string last_reason;
 
+    [[nodiscard]] std::int64_t priority() const {
+        return workspace == nullptr ? route->priority : workspace->priority.value_or(route->priority);
+    }
     /// Stands for the route in `route_shares`; the same on every instance and in every version.
     [[nodiscard]] std::uint32_t route_hash() const {
         return static_cast<std::uint32_t>(XXH3_64bits(route->name.data(), route->name.size()));
@@ -202,6 +211,9 @@
     }
     auto const& route = *request.route;
     record.route = route.name;
+    if (auto response = admit_workspace(request)) {
+        return std::move(*response);
+    }
     auto const caller_deadline = parse_deadline(request.request, m_state.wire_format.deadline_header);
     request.deadline = request.received + std::min(caller_deadline.value_or(route.deadline), route.deadline);
     request.target_latency_deadline = request.received + route.latency_objective;
@@ -214,6 +226,31 @@
     return run_attempts(request);
 }
 
+std::optional<http_response> request_dispatcher::admit_workspace(request_state& request) {
+    if (!request.routes->tables().workspaces) {
+        return std::nullopt;
+    }
+    // Several keys are ambiguous, and one of them may be another workspace's.
+    auto const& name = m_state.wire_format.key_header;
+    if (request.request.count(name) == 1) {
+        request.workspace = request.routes->find_workspace(header_field(request.request, name));
+    }
+    if (request.workspace == nullptr) {
+        if (!request.routes->needs_key(*request.route)) {
+            return std::nullopt;
+        }
+        m_state.counters.add(counter::requests_without_workspace);
+        return finish_failed(request, 401, "no workspace holds the key");
+    }
+    request.record.customer = request.workspace->name;
+    if (auto const retry_after = m_state.rates.admit(*request.workspace)) {
+        m_state.counters.add(counter::refused_over_rate);
+        return finish_over_rate(request, *retry_after);
+    }
+    request.has_rate_token = true;
+    return std::nullopt;
+}
+
 std::string request_dispatcher::choose_pool(route_row const& route) const {
     if (route.weighted_pools.empty()) {
         return route.pool;
@@ -249,7 +286,7 @@
     return m_admission.acquire_permit(
         {.request_id = request.id,
          .pool = request.pool,
-         .deadlines = {.priority = request.route->priority,
+         .deadlines = {.priority = request.priority(),
                        .route = request.route_hash(),
                        .soft_start_deadline = request.target_latency_deadline - service_time,
                        .hard_start_deadline = request.deadline - service_time}},
@@ -335,6 +372,13 @@
     set_header_field(*state->request, m_state.wire_format.deadline_header,
                      std::to_string(std::max<std::int64_t>(1, remaining_ms)));
     set_header_field(*state->request, m_state.wire_format.expected_target_header, choice.id);
+    if (request.routes->tables().workspaces) {
+        state->request->erase(m_state.wire_format.key_header);
+        state->request->erase(m_state.wire_format.workspace_header);
+        if (request.workspace != nullptr) {
+            set_header_field(*state->request, m_state.wire_format.workspace_header, request.workspace->name);
+        }
+    }
     log_line(log_level::info, "target_chosen")
         .field("request", request.id)
         .field("route", request.route->name)
@@ -535,7 +579,20 @@
                : finish_not_run(request, "the instance stops before a target is reached");
 }
 
+http_response request_dispatcher::finish_over_rate(request_state& request,
+                                                   std::chrono::nanoseconds retry_after) {
+    auto response = make_response(429, "application/json", "{\"error\":\"over_rate\"}\n");
+    auto text = std::to_string(std::chrono::duration<double>(retry_after).count());
+    text.resize(text.find('.') + 4);
+    set_header_field(response, m_state.wire_format.retry_after_header, text);
+    request.last_reason = "the workspace is over its rate";
+    return finish_request(request, std::move(response), "not-run");
+}
+
 http_response request_dispatcher::finish_not_run(request_state& request, std::string_view reason) {
+    if (std::exchange(request.has_rate_token, false)) {
+        m_state.rates.give_back(*request.workspace);
+    }
     auto response = make_response(503, "application/json",
                                   "{\"error\":\"not_run\",\"reason\":\"" + std::string(reason) + "\"}\n");
     auto const jitter = static_cast<double>(thread_random()() % 1000) / 1000.0;
@@ -555,11 +612,10 @@
 http_response request_dispatcher::finish_failed(request_state& request, unsigned status,
                                                 std::string_view reason) {
     request.last_reason = reason;
-    return finish_request(
-        request,
-        make_response(status, "application/json",
-                      "{\"error\":\"" + std::string(status == 404 ? "no_route" : "unknown") + "\"}\n"),
-        status == 404 ? "not-run" : "unknown");
+    return finish_request(request,
+                          make_response(status, "application/json",
+                                        "{\"error\":\"" + std::string(error_name(status)) + "\"}\n"),
+                          status == 404 || status == 401 ? "not-run" : "unknown");
 }
 
 http_response request_dispatcher::finish_request(request_state& request, http_response response,
@@ -590,6 +646,7 @@
     log_line(log_level::info, "request_done")
         .field("request", request.id)
         .field("route", record.route)
+        .field("workspace", request.workspace == nullptr ? std::string_view() : request.workspace->name)
         .field("tables", request.routes->tables().version)
         .field("pool", request.pool)
         .field("target", request.last_target)
--- a/Libraries/Gateway/gateway/request_dispatcher.hpp
+++ b/Libraries/Gateway/gateway/request_dispatcher.hpp
@@ -33,6 +33,9 @@
     struct attempt_state;
 
     [[nodiscard]] http_response route_request(request_state& request);
+    /// Finds the workspace of the request's key and takes a token of its rate. Returns the response when the
+    /// key is unknown or the workspace is over its rate.
+    [[nodiscard]] std::optional<http_response> admit_workspace(request_state& request);
     [[nodiscard]] http_response run_attempts(request_state& request);
     /// Waits for a permit of the pool. Returns false when the request is refused or its caller disconnected.
     [[nodiscard]] bool wait_for_permit(request_state const& request);
@@ -54,6 +57,8 @@
                                                    bool may_have_run,
                                                    std::optional<http_response> error_response);
     [[nodiscard]] http_response finish_not_run(request_state& request, std::string_view reason);
+    [[nodiscard]] http_response finish_over_rate(request_state& request,
+                                                 std::chrono::nanoseconds retry_after);
     [[nodiscard]] http_response finish_failed(request_state& request, unsigned status,
                                               std::string_view reason);
     [[nodiscard]] http_response finish_request(request_state& request, http_response response,
--- a/Libraries/Gateway/gateway/target_client.cpp
+++ b/Libraries/Gateway/gateway/target_client.cpp
@@ -237,6 +237,10 @@
                                                  exchange_kind kind) const {
     exchange_report report;
     report.target_load_report = m_wire_format.parse_load(header_field(response, m_wire_format.load_header));
+    if (report.target_load_report) {
+        report.target_load_report->warm_up_remaining =
+            m_wire_format.parse_warm_up(header_field(response, m_wire_format.warm_up_header));
+    }
     auto const status = response.result_int();
     if (status == 421 ||
         (status >= 400 && !header_field(response, m_wire_format.not_started_header).empty())) {
--- a/Libraries/State/state/route_index.cpp
+++ b/Libraries/State/state/route_index.cpp
@@ -14,6 +14,9 @@
 }
 
 route_index::route_index(routing_tables value) : m_tables(std::move(value)) {
+    if (m_tables.workspaces) {
+        m_workspaces = workspace_index(*m_tables.workspaces);
+    }
     for (auto const& route : m_tables.routes) {
         m_routes_by_host[route.host].push_back(&route);
     }
--- a/Libraries/State/state/routing_tables.hpp
+++ b/Libraries/State/state/routing_tables.hpp
@@ -3,9 +3,11 @@
 
 #include "base/endpoint.hpp"
 #include "base/errors.hpp"
+#include "state/key_digest.hpp"
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -35,6 +37,7 @@
     std::chrono::milliseconds latency_objective{500}; ///< Target latency: a response within it is on time.
     std::int64_t priority = 0;                        ///< 0 is the most urgent.
     std::int64_t max_attempts = 2; ///< Most attempts of one request, the first one included.
+    bool is_public = false;        ///< Needs no key, also where the tables declare workspaces.
 
     bool operator==(route_row const&) const = default;
 };
@@ -65,11 +68,26 @@
     /// Number of home instances, which receive the pool's callers; 0 derives it from the pool's size.
     std::int64_t homes = 0;
     std::string health_path;
+    /// Requests per second that a cold target tolerates, over the fleet; 0: as many as a warm one.
+    double warm_up_requests_per_second = 0;
+    std::chrono::milliseconds warm_up_time{0}; ///< How long a target is cold after it started.
     std::vector<target_row> targets;
 
     bool operator==(pool_row const&) const = default;
 };
 
+/// One row of the workspaces table: a customer's workspace, the keys of its callers and its share of the
+/// service.
+struct workspace_row {
+    std::string name;
+    std::vector<key_digest> key_digests;  ///< Of the keys, which themselves are not kept.
+    std::optional<std::int64_t> priority; ///< Takes precedence over the route's; 0 is the most urgent.
+    double requests_per_second = 0;       ///< Over the fleet; 0: unlimited.
+    double burst = 0;                     ///< Requests that may arrive at once, beyond the rate.
+
+    bool operator==(workspace_row const&) const = default;
+};
+
 /// Limits on the size of a caller's request, the time to send it, and the time a connection may stay idle.
 struct caller_limits {
     std::int64_t max_header_bytes = 16384;
@@ -80,12 +98,14 @@
     bool operator==(caller_limits const&) const = default;
 };
 
-/// Both tables under one version number. An accepted version is never changed.
+/// All tables under one version number. An accepted version is never changed.
 struct routing_tables {
     std::uint64_t version = 0;
     caller_limits limits;
     std::vector<route_row> routes;
     std::vector<pool_row> pools;
+    /// Empty where requests need no key; otherwise those of every route need one that is not public.
+    std::optional<std::vector<workspace_row>> workspaces;
 
     /// The route with the longest prefix of `path`, among those that list `method`; nullptr when there is
     /// none. A prefix matches only up to the end of a path segment. Hosts are not compared.
@@ -103,6 +123,9 @@
     static constexpr std::int64_t max_deadline_ms = 600000;
     static constexpr std::int64_t max_customer_concurrency = 100000;
     static constexpr std::size_t max_name_characters = 64;
+    static constexpr double max_workspace_rate = 1e9; ///< Requests per second, and of a burst.
+    static constexpr std::int64_t max_priority = 1000000;
+    static constexpr std::size_t max_workspace_name_bytes = 200; ///< It is sent in a header field.
 };
 
 /// Checks every row, and the references from routes to pools. Returns every problem found.
--- a/Tests/Platform/test_document_codec.cpp
+++ b/Tests/Platform/test_document_codec.cpp
@@ -20,6 +20,9 @@
     R"("target_latency_s":0.4,"priority":2,"split":[{"service":"s","weight":90},{"service":"t","weight":10}],)"
     R"("max_attempts":2}]}]})";
 
+std::string const workspace =
+    R"({"name":"w","api_keys":["k1","k2"],"priority":1,"rate_per_s":2.5,"burst":7})";
+
 std::string replaced(std::string text, std::string const& from, std::string const& to) {
     return text.replace(text.find(from), from.size(), to);
 }
@@ -54,6 +57,40 @@
     }
 }
 
+TEST(document_codec, decodes_workspaces_public_routes_and_warm_up_rates) {
+    auto document = replaced(manifest, "\"limits\"", "\"tenants\":[" + workspace + "],\"limits\"");
+    document = replaced(document, "\"max_attempts\":2", "\"max_attempts\":2,\"public\":true");
+    document = replaced(document, "\"tls\":false", "\"tls\":false,\"warmup_s\":3.0,\"warmup_per_s\":3.7");
+    auto const tables = platform::decode_manifest(document);
+    auto const& decoded = tables.workspaces->front();
+    STRCMP_EQUAL("w", decoded.name.c_str());
+    CHECK((decoded.key_digests == std::vector{digest_of_key("k1"), digest_of_key("k2")}));
+    LONGS_EQUAL(1, *decoded.priority);
+    DOUBLES_EQUAL(2.5, decoded.requests_per_second, 0.001);
+    DOUBLES_EQUAL(7, decoded.burst, 0.001);
+    CHECK(tables.routes.front().is_public);
+    DOUBLES_EQUAL(3.7, tables.pools.front().warm_up_requests_per_second, 0.001);
+    LONGS_EQUAL(3000, tables.pools.front().warm_up_time.count());
+    CHECK_FALSE(platform::decode_manifest(manifest).workspaces.has_value());
+}
+
+TEST(document_codec, rejects_malformed_workspaces_without_naming_their_keys) {
+    // A key in an error would end up in a log.
+    std::array<std::string, 5> const malformed{
+        replaced(workspace, "\"w\"", "\"\""), replaced(workspace, "\"w\"", "\"a\\r\\nb\""),
+        replaced(workspace, "\"k2\"", "7"), replaced(workspace, "2.5", "-1"),
+        replaced(workspace, "\"burst\":7", "\"burst\":\"7\"")};
+    for (auto const& each : malformed) {
+        try {
+            static_cast<void>(platform::decode_manifest(
+                replaced(manifest, "\"limits\"", "\"tenants\":[" + each + "],\"limits\"")));
+            FAIL(each.c_str());
+        } catch (malformed_message const& failure) {
+            CHECK(std::string(failure.what()).find("k1") == std::string::npos);
+        }
+    }
+}
+
 TEST(document_codec, rejects_malformed_manifests) {
     std::array<std::string, 6> const malformed_manifests{
         "",
--- a/Tests/Platform/test_store_responses.cpp
+++ b/Tests/Platform/test_store_responses.cpp
@@ -55,6 +55,20 @@
 
 TEST_GROUP(store_responses){};
 
+TEST(store_responses, rows_of_evacuations_begin_and_end_them) {
+    auto const body = response(R"({"table":"op","part":"","key":"evacuate/x","ver":5,"value":"e30="},)"
+                               R"({"table":"op","part":"","key":"evacuate/y","ver":6,"removed":true},)"
+                               R"({"table":"op","part":"q","key":"evacuate/z","ver":6,"value":"e30="},)"
+                               R"({"table":"op","part":"","key":"evacuate/","ver":6,"value":"e30="})");
+    auto const snapshot = platform::decode_tables_response(body);
+    LONGS_EQUAL(2, snapshot.evacuations.size());
+    STRCMP_EQUAL("x", snapshot.evacuations[0].zone.c_str());
+    CHECK(snapshot.evacuations[0].is_evacuated);
+    LONGS_EQUAL(5, snapshot.evacuations[0].changed_at.number);
+    STRCMP_EQUAL("y", snapshot.evacuations[1].zone.c_str());
+    CHECK_FALSE(snapshot.evacuations[1].is_evacuated);
+}
+
 TEST(store_responses, malformed_responses_are_rejected) {
     for (auto const& body : malformed_responses) {
         CHECK_THROWS(malformed_message, static_cast<void>(platform::decode_tables_response(body)));
