--- a/Libraries/Coordination/coordination/slot_claims.cpp
+++ b/Libraries/Coordination/coordination/slot_claims.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr double first_home_probe_share = 0.6;
+constexpr double own_zone_search_share = 0.8;
 
 /// The address breaks ties, so that the order is the same everywhere.
 std::pair<std::uint64_t, endpoint> rendezvous_key(std::string_view target_id, endpoint const& home) {
@@ -42,4 +43,14 @@
                      : (1.0 - first_home_probe_share) / static_cast<double>(home_count - 1);
 }
 
+double search_rate_share(bool is_in_own_zone, std::size_t zone_homes, std::size_t home_count) {
+    auto const other_homes = home_count - std::min(home_count, zone_homes);
+    if (is_in_own_zone) {
+        return (other_homes == 0 ? 1.0 : own_zone_search_share) /
+               static_cast<double>(std::max<std::size_t>(1, zone_homes));
+    }
+    return (zone_homes == 0 ? 1.0 : 1.0 - own_zone_search_share) /
+           static_cast<double>(std::max<std::size_t>(1, other_homes));
+}
+
 } // namespace pomelospread
--- a/Libraries/Coordination/coordination/slot_claims.hpp
+++ b/Libraries/Coordination/coordination/slot_claims.hpp
@@ -36,4 +36,9 @@
 /// the target when it is nearly full, so it gets the largest part; together the homes use the whole rate.
 [[nodiscard]] double probe_rate_share(std::uint32_t rank, std::size_t home_count);
 
+/// The same for a pool whose targets are searched (`target_search`): the homes of the target's zone probe it
+/// for each of their requests, and those of other zones only when their own zone has no good target.
+/// `zone_homes` of the `home_count` homes are in the target's zone. Together the homes use the whole rate.
+[[nodiscard]] double search_rate_share(bool is_in_own_zone, std::size_t zone_homes, std::size_t home_count);
+
 } // namespace pomelospread
--- a/Libraries/Coordination/coordination/target_selector.cpp
+++ b/Libraries/Coordination/coordination/target_selector.cpp
@@ -362,6 +362,13 @@
     std::erase_if(estimates, [&](auto const& each) {
         return each.expected_ms > least * (1.0 + m_policy.tie_tolerance);
     });
+    // Of targets with few slots, those of the own zone are known best, and bytes between zones cost.
+    auto const is_near = [this](auto const& each) {
+        return has_few_slots(*each.target) && each.target->listed.zone == m_own_zone;
+    };
+    if (std::ranges::any_of(estimates, is_near)) {
+        std::erase_if(estimates, [&](auto const& each) { return !is_near(each); });
+    }
     auto const& estimate = estimates[random() % estimates.size()];
     auto chosen = make_choice(estimate);
     chosen.candidate_count = candidates;
@@ -400,6 +407,87 @@
     return probed;
 }
 
+bool target_selector::uses_search(pool_state const& pool) const {
+    return !pool.targets.empty() &&
+           std::ranges::all_of(pool.targets, [this](auto const* target) { return has_few_slots(*target); });
+}
+
+bool target_selector::uses_search(std::string_view pool) const {
+    auto const found = m_pools.find(pool);
+    return found != m_pools.end() && uses_search(found->second);
+}
+
+void target_selector::set_home_zones(std::string_view pool,
+                                     std::map<std::string, std::size_t, std::less<>> homes_by_zone) {
+    m_pools[std::string(pool)].homes_by_zone = std::move(homes_by_zone);
+}
+
+double target_selector::probe_share(std::string const& id, std::size_t max_homes) const {
+    auto const found = m_targets.find(id);
+    if (found == m_targets.end()) {
+        return probe_rate_share(0, max_homes);
+    }
+    auto const& state = found->second;
+    auto const& pool = m_pools.find(state.listed.pool)->second;
+    if (!uses_search(pool)) {
+        return probe_rate_share(state.slot_claim_rank, max_homes);
+    }
+    auto const zone = pool.homes_by_zone.find(state.listed.zone);
+    return search_rate_share(state.listed.zone == m_own_zone,
+                             zone == pool.homes_by_zone.end() ? 0 : zone->second, pool.home_count);
+}
+
+target_search target_selector::begin_search(std::string_view pool, time_point now) const {
+    return {m_policy.search, typical_service_time(pool), now};
+}
+
+search_candidate target_selector::make_search_candidate(std::size_t index, candidate_estimate const& value,
+                                                        pool_state const& pool) const {
+    auto const typical_ms = pool.typical_service_ms > 0 ? pool.typical_service_ms : default_service_ms;
+    bool const is_in_own_zone = value.target->listed.zone == m_own_zone;
+    return {.index = index,
+            .expected_ms = value.expected_ms,
+            .undisturbed_ms = typical_ms + (is_in_own_zone ? 0.0 : to_ms(m_policy.cross_zone_penalty)) +
+                              value.expected_ms - value.service_ms,
+            .slowdown = value.target->slowdown,
+            .is_idle = value.target->in_flight == 0 && value.other_in_flight < 0.5,
+            .is_in_own_zone = is_in_own_zone,
+            .report_age_ms = value.report_age_ms};
+}
+
+std::vector<target_choice> target_selector::next_search_round(target_search& search, std::string_view pool,
+                                                              std::span<std::string const> excluded,
+                                                              target_predicate const& can_probe,
+                                                              time_point now, random_source& random) const {
+    auto const found = m_pools.find(pool);
+    if (found == m_pools.end()) {
+        return {};
+    }
+    auto const estimates = estimate_candidates(found->second, excluded, now);
+    std::vector<search_candidate> candidates;
+    candidates.reserve(estimates.size());
+    for (std::size_t i = 0; i < estimates.size(); ++i) {
+        candidates.push_back(make_search_candidate(i, estimates[i], found->second));
+        candidates.back().can_be_probed = can_probe(estimates[i].target->listed.id);
+    }
+    std::vector<target_choice> probed;
+    for (auto const index : search.next_round(candidates, found->second.good_share, now, random)) {
+        probed.push_back(make_choice(estimates[index]));
+    }
+    return probed;
+}
+
+bool target_selector::is_known_good(target_search const& search, std::string const& id,
+                                    time_point now) const {
+    auto const found = m_targets.find(id);
+    if (found == m_targets.end()) {
+        return false;
+    }
+    auto const& pool = m_pools.find(found->second.listed.pool)->second;
+    return is_usable_at(found->second, pool, now) &&
+           search.is_known_good(make_search_candidate(0, estimate_candidate(found->second, pool, now), pool));
+}
+
 void target_selector::record_probe_failure(std::string const& id, time_point now) {
     if (auto const found = m_targets.find(id); found != m_targets.end()) {
         update_failure_rate(found->second, 1.0, now);
@@ -471,6 +559,8 @@
         std::max(0.0, reported_load - state.in_flight - peers_in_flight(state, received));
     auto& pool = m_pools[state.listed.pool];
     pool.mean_slowdown += mean_slowdown_weight * (state.slowdown - pool.mean_slowdown);
+    bool const is_good = reported_load < 0.5 && state.slowdown <= m_policy.search.max_slowdown;
+    pool.good_share += mean_slowdown_weight * ((is_good ? 1.0 : 0.0) - pool.good_share);
 }
 
 void target_selector::disable(std::string const& id) {
--- a/Libraries/Coordination/coordination/target_selector.hpp
+++ b/Libraries/Coordination/coordination/target_selector.hpp
@@ -7,9 +7,11 @@
 #include "coordination/slot_claims.hpp"
 #include "coordination/target_exclusions.hpp"
 #include "coordination/target_list_cache.hpp"
+#include "coordination/target_search.hpp"
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -67,6 +69,7 @@
     double tie_tolerance = 0.1;
     slot_claim_policy slot_claims;
     cold_target_policy cold_targets;
+    target_search_policy search;
 };
 
 /// The hash that stands for a target's id in messages between instances.
@@ -133,6 +136,12 @@
     /// its targets may have become cold and count as such for their pool's warm-up time.
     void set_evacuated_zones(std::set<std::string, std::less<>> zones, time_point now);
 
+    /// Sets in which zones the pool's homes are.
+    void set_home_zones(std::string_view pool, std::map<std::string, std::size_t, std::less<>> homes_by_zone);
+    /// This instance's share of the load probes of a target; `max_homes` is the largest number of homes that
+    /// the callers of one host have.
+    [[nodiscard]] double probe_share(std::string const& id, std::size_t max_homes) const;
+
     /// Chooses the target of the pool with the least expected time, at random among near ties. Returns
     /// nothing when no target may be used.
     [[nodiscard]] std::optional<target_choice> choose(std::string_view pool,
@@ -177,6 +186,22 @@
     probe_candidates(std::string_view pool, std::span<std::string const> excluded, std::size_t count,
                      std::chrono::milliseconds fresh, time_point now, random_source& random) const;
 
+    /// Whether targets are searched for (`next_search_round`) instead of probed once (`probe_candidates`):
+    /// the pool's targets have few slots.
+    [[nodiscard]] bool uses_search(std::string_view pool) const;
+    [[nodiscard]] target_search begin_search(std::string_view pool, time_point now) const;
+    using target_predicate = std::function<bool(std::string const& id)>;
+    /// The targets to probe in the next round of the search, among those for which `can_probe` returns true;
+    /// empty when it is over.
+    [[nodiscard]] std::vector<target_choice> next_search_round(target_search& search, std::string_view pool,
+                                                               std::span<std::string const> excluded,
+                                                               target_predicate const& can_probe,
+                                                               time_point now, random_source& random) const;
+
+    /// Whether a fresh report shows that the target is idle and undisturbed, so that the search can end.
+    [[nodiscard]] bool is_known_good(target_search const& search, std::string const& id,
+                                     time_point now) const;
+
     /// Typical service time of the pool without slowdown; zero until a request was measured.
     [[nodiscard]] std::chrono::nanoseconds typical_service_time(std::string_view pool) const;
     /// Further requests that the pool's eligible targets can take now without being nearly full.
@@ -237,12 +262,15 @@
         double typical_service_ms = 0;            ///< Without slowdown.
         double mean_service_ms = 0;               ///< As measured.
         double mean_slowdown = 1.5;
+        double good_share = 0.5; ///< Of the load reports, those of idle and undisturbed targets.
         double warm_up_requests_per_second = 0; ///< 0: unlimited.
         std::chrono::milliseconds warm_up_time{0};
         std::size_t home_count = 1;
+        std::map<std::string, std::size_t, std::less<>> homes_by_zone;
     };
 
     [[nodiscard]] static bool is_usable(target_state const& state);
+    [[nodiscard]] bool uses_search(pool_state const& pool) const;
     [[nodiscard]] bool is_usable_at(target_state const& state, pool_state const& pool, time_point now) const;
     [[nodiscard]] static bool is_cold(target_state const& state, time_point now);
     [[nodiscard]] std::vector<candidate_estimate>
@@ -267,6 +295,8 @@
     [[nodiscard]] static double least_expected_ms(std::span<candidate_estimate const> estimates);
     [[nodiscard]] candidate_estimate estimate_candidate(target_state const& state, pool_state const& pool,
                                                         time_point now) const;
+    [[nodiscard]] search_candidate make_search_candidate(std::size_t index, candidate_estimate const& value,
+                                                         pool_state const& pool) const;
     [[nodiscard]] static target_choice make_choice(candidate_estimate const& value);
     /// 1 while a home that comes first may be about to use a slot of the target, else 0.
     [[nodiscard]] double claimed_by_others(target_state const& state, time_point now) const;
--- a/Libraries/Gateway/gateway/fleet_synchronizer.cpp
+++ b/Libraries/Gateway/gateway/fleet_synchronizer.cpp
@@ -628,6 +628,7 @@
         auto& previous = m_claiming_homes[pool.name];
         if (previous != homes) {
             m_state.selector.set_slot_claims(pool.name, m_membership.self().peer_address, homes);
+            m_state.selector.set_home_zones(pool.name, m_homes.homes_by_zone(pool.name));
             previous = homes;
         }
     }
--- a/Libraries/Gateway/gateway/forwarding_state.cpp
+++ b/Libraries/Gateway/gateway/forwarding_state.cpp
@@ -29,8 +29,7 @@
       account(self, settings.journal_capacity, counters) {}
 
 double forwarding_state::probes_per_second(std::string const& target) const {
-    return settings.fleet_probes_per_target_per_second *
-           probe_rate_share(selector.claim_rank(target), max_homes_per_host);
+    return settings.fleet_probes_per_target_per_second * selector.probe_share(target, max_homes_per_host);
 }
 
 } // namespace pomelospread
--- a/Libraries/Gateway/gateway/home_directory.cpp
+++ b/Libraries/Gateway/gateway/home_directory.cpp
@@ -29,6 +29,7 @@
     m_max_homes_per_host = 0;
     std::map<std::string, std::set<endpoint>> homes_by_key;
     m_peer_addresses.clear();
+    m_zones.clear();
     for (auto const& pool : routes.tables().pools) {
         auto& peers = m_peer_addresses[pool.name];
         for (auto const& key : routes.home_keys_for_pool(pool.name)) {
@@ -37,6 +38,7 @@
                 for (auto const& zone : zones) {
                     for (auto const& home : select_home_instances(key, zone, candidates, m_limits)) {
                         homes.insert(home.peer_address);
+                        m_zones[home.peer_address] = home.zone;
                     }
                 }
             }
@@ -65,6 +67,14 @@
                                [&](auto const& entry) { return entry.second.contains(peer_address); });
 }
 
+std::map<std::string, std::size_t, std::less<>> home_directory::homes_by_zone(std::string const& pool) const {
+    std::map<std::string, std::size_t, std::less<>> counts;
+    for (auto const& home : peer_addresses_for_pool(pool)) {
+        ++counts[m_zones.find(home)->second];
+    }
+    return counts;
+}
+
 std::set<endpoint> home_directory::all_peer_addresses() const {
     std::set<endpoint> result;
     for (auto const& [pool, addresses] : m_peer_addresses) {
--- a/Libraries/Gateway/gateway/home_directory.hpp
+++ b/Libraries/Gateway/gateway/home_directory.hpp
@@ -35,6 +35,9 @@
     [[nodiscard]] bool is_home(endpoint const& peer_address) const;
     /// The peer addresses of the homes of any pool.
     [[nodiscard]] std::set<endpoint> all_peer_addresses() const;
+    /// The number of the pool's homes in each zone that has one.
+    [[nodiscard]] std::map<std::string, std::size_t, std::less<>>
+    homes_by_zone(std::string const& pool) const;
     /// The peer addresses of the pool's homes in all zones.
     [[nodiscard]] std::set<endpoint> const& peer_addresses_for_pool(std::string const& pool) const;
 
@@ -42,6 +45,7 @@
     home_limits m_limits;
     std::size_t m_max_homes_per_host = 0;
     std::map<std::string, std::set<endpoint>, std::less<>> m_peer_addresses; ///< By pool.
+    std::map<endpoint, std::string> m_zones;                                 ///< Of the homes.
 };
 
 } // namespace pomelospread
--- a/Libraries/Gateway/gateway/load_prober.cpp
+++ b/Libraries/Gateway/gateway/load_prober.cpp
@@ -42,8 +42,18 @@
     return true;
 }
 
+bool load_prober::can_probe(std::string const& id) const {
+    auto const found = m_token_buckets.find(id);
+    if (found == m_token_buckets.end() || m_probes_in_progress.contains(id)) {
+        return true;
+    }
+    auto const& bucket = found->second;
+    auto const age = std::chrono::duration<double>(std::chrono::steady_clock::now() - bucket.refilled_at);
+    return bucket.tokens + m_state.probes_per_second(id) * age.count() >= 1.0;
+}
+
 void load_prober::probe_targets(std::span<probe_target const> targets, std::string const& health_path,
-                                steady_time until) {
+                                steady_time until, target_predicate const& is_enough) {
     auto const now = std::chrono::steady_clock::now();
     std::vector<std::string> awaited_ids;
     for (auto const& target : targets) {
@@ -56,9 +66,14 @@
         }
         awaited_ids.push_back(target.id);
     }
+    auto const is_in_progress = [this](auto const& id) { return m_probes_in_progress.contains(id); };
     std::unique_lock lock(m_mutex);
-    while (
-        std::ranges::any_of(awaited_ids, [&](auto const& id) { return m_probes_in_progress.contains(id); })) {
+    while (std::ranges::any_of(awaited_ids, is_in_progress)) {
+        if (is_enough && std::ranges::any_of(awaited_ids, [&](auto const& id) {
+                return !is_in_progress(id) && is_enough(id);
+            })) {
+            return;
+        }
         if (m_probe_finished.wait_until(lock, until) == boost::fibers::cv_status::timeout) {
             return;
         }
--- a/Libraries/Gateway/gateway/load_prober.hpp
+++ b/Libraries/Gateway/gateway/load_prober.hpp
@@ -10,6 +10,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <span>
@@ -30,10 +31,16 @@
         endpoint address;
     };
 
-    /// Probes the targets concurrently. Returns when all probes have finished, or at `until`. A target with a
-    /// probe in progress is not probed again but waited for; one whose rate limit is reached is skipped.
+    /// Whether a probe of the target may be sent now, or is in progress.
+    [[nodiscard]] bool can_probe(std::string const& id) const;
+
+    using target_predicate = std::function<bool(std::string const& id)>;
+
+    /// Probes the targets concurrently. Returns when all probes have finished, when `is_enough` returns true
+    /// for one of the targets whose probe has finished, or at `until`. A target with a probe in progress is
+    /// not probed again but waited for; one whose rate limit is reached is skipped.
     void probe_targets(std::span<probe_target const> targets, std::string const& health_path,
-                       steady_time until);
+                       steady_time until, target_predicate const& is_enough = {});
 
 private:
     struct token_bucket {
--- a/Libraries/Gateway/gateway/request_dispatcher.cpp
+++ b/Libraries/Gateway/gateway/request_dispatcher.cpp
@@ -37,6 +37,8 @@
 /// Longest wait for load probes before a target is chosen: enough for a round trip between zones, a new
 /// connection and the target's processing.
 constexpr auto max_probe_wait = milliseconds(12);
+/// Of one round of a search. A target that takes longer is silent, busy or far, and others are asked.
+constexpr auto max_search_round_wait = milliseconds(8);
 /// How often a request waits for a permit before it is sent to a target that turned out to be slow or full.
 constexpr int max_choice_rounds = 8;
 /// Available capacity that a pool must have before a hedge is sent.
@@ -299,15 +301,40 @@
     if (pool == request.routes->tables().pools.end() || pool->health_path.empty()) {
         return;
     }
-    std::vector<load_prober::probe_target> targets;
-    for (auto const& each : m_state.selector.probe_candidates(
-             request.pool, attempts.excluded_targets, m_state.settings.probed_candidates,
-             m_state.settings.fresh_report_max_age, now, thread_random())) {
-        targets.push_back({.id = each.id, .incarnation = each.incarnation, .address = each.address});
-    }
-    if (!targets.empty()) {
-        m_load_prober.probe_targets(targets, pool->health_path, now + max_probe_wait);
+    auto const probe = [&](std::vector<target_choice> const& choices, steady_time until,
+                           load_prober::target_predicate const& is_enough) {
+        std::vector<load_prober::probe_target> targets;
+        for (auto const& each : choices) {
+            targets.push_back({.id = each.id, .incarnation = each.incarnation, .address = each.address});
+        }
+        if (!targets.empty()) {
+            m_load_prober.probe_targets(targets, pool->health_path, until, is_enough);
+        }
+        return !targets.empty();
+    };
+    auto& selector = m_state.selector;
+    auto const& settings = m_state.settings;
+    if (settings.probed_candidates > 0 && selector.uses_search(request.pool)) {
+        auto search = selector.begin_search(request.pool, now);
+        auto const is_enough = [&](std::string const& id) {
+            return selector.is_known_good(search, id, std::chrono::steady_clock::now());
+        };
+        for (auto round_start = now; !request.notifier.is_interrupted();
+             round_start = std::chrono::steady_clock::now()) {
+            auto const choices = selector.next_search_round(
+                search, request.pool, attempts.excluded_targets,
+                [this](std::string const& id) { return m_load_prober.can_probe(id); }, round_start,
+                thread_random());
+            if (!probe(choices, round_start + max_search_round_wait, is_enough)) {
+                return;
+            }
+        }
+        return;
     }
+    static_cast<void>(
+        probe(selector.probe_candidates(request.pool, attempts.excluded_targets, settings.probed_candidates,
+                                        settings.fresh_report_max_age, now, thread_random()),
+              now + max_probe_wait, {}));
 }
 
 bool request_dispatcher::start_attempt(request_state& request, std::shared_ptr<attempt_set> const& attempts,
