Coordination: Take the round robin out of customer_fair_queue

Cause: admission_queue needs turns of workspaces, and the round robin of customers was part of the container. group_turns keeps the order of turns for groups of any key; customer_fair_queue uses it and serves as before. Result: customer_fair_queues of test_coordination passes unchanged.

--- a/Libraries/Coordination/coordination/customer_fair_queue.hpp
+++ b/Libraries/Coordination/coordination/customer_fair_queue.hpp
@@ -1,10 +1,10 @@
 // The requests that wait in an instance for a permit of a target.
 #pragma once
 
+#include "coordination/group_turns.hpp"
 #include "coordination/target_pool.hpp"
 
 #include <algorithm>
-#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -26,11 +26,8 @@
         if (m_size >= m_capacity) {
             return false;
         }
-        auto [found, added] = m_waiters_by_customer.try_emplace(customer);
-        if (added) {
-            m_round_robin.push_back(customer);
-        }
-        found->second.emplace(deadline, std::move(waiter));
+        m_turns.add(customer);
+        m_waiters_by_customer[customer].emplace(deadline, std::move(waiter));
         ++m_size;
         return true;
     }
@@ -40,17 +37,14 @@
         if (m_size == 0) {
             return std::nullopt;
         }
-        auto customer = std::move(m_round_robin.front());
-        m_round_robin.pop_front();
-        auto const found = m_waiters_by_customer.find(customer);
+        auto const found = m_waiters_by_customer.find(m_turns.next());
+        m_turns.serve(found->first);
         auto first = found->second.begin();
         auto waiter = std::move(first->second);
         found->second.erase(first);
         --m_size;
         if (found->second.empty()) {
             m_waiters_by_customer.erase(found);
-        } else {
-            m_round_robin.push_back(std::move(customer));
         }
         return waiter;
     }
@@ -67,11 +61,11 @@
         if (position == waiting.end()) {
             return false;
         }
+        m_turns.remove(customer);
         waiting.erase(position);
         --m_size;
         if (waiting.empty()) {
             m_waiters_by_customer.erase(found);
-            m_round_robin.erase(std::find(m_round_robin.begin(), m_round_robin.end(), customer));
         }
         return true;
     }
@@ -82,7 +76,7 @@
     std::size_t m_capacity;
     std::size_t m_size = 0;
     std::map<std::string, std::multimap<nanoseconds, Waiter>> m_waiters_by_customer;
-    std::deque<std::string> m_round_robin;
+    group_turns<std::string> m_turns;
 };
 
 } // namespace pomelospread
