Coordination, Gateway: Share a pool's capacity among workspaces as among routes

Cause: the order of admission knew routes only. A workspace that sent many times its usual requests took the capacity of the others, the more so when its priority was urgent. Change: route_shares becomes group_shares, which counts routes and workspaces, and for workspaces also what is usual. Requests of underserved groups come first, those of a workspace over its usual rate last, and within equal rank workspaces have turns; the estimate of the requests ahead follows the turns.

--- a/Libraries/Gateway/gateway/admission_controller.cpp
+++ b/Libraries/Gateway/gateway/admission_controller.cpp
@@ -53,8 +53,8 @@
         return false;
     }
     auto const own_in_flight = std::max(1U, m_state.selector.own_pool_in_flight(request.pool));
-    capacity_release_rate const release_rate{
-        .release_interval = m_state.selector.current_service_time(request.pool) / own_in_flight};
+    capacity_release_rate const rate{.release_interval = m_state.selector.current_service_time(request.pool) /
+                                                         own_in_flight};
     // While all targets are paused no capacity is released; at the end of the first pause all of its
     // target's capacity is available at once.
     auto const start = m_state.selector.paused_until(request.pool, now).value_or(now);
@@ -62,7 +62,7 @@
     bool const is_pause_enough = start > now && m_state.selector.available_capacity(request.pool, start) >=
                                                     static_cast<double>(awaited_permits);
     auto const decision =
-        is_pause_enough ? admission_decision::wait : admission.queue.decide(deadlines, release_rate, start);
+        is_pause_enough ? admission_decision::wait : admission.queue.decide(deadlines, rate, start);
     auto const until_soft_deadline =
         std::chrono::duration_cast<milliseconds>(deadlines.soft_start_deadline - now);
     log_line(log_level::info, "no_place")
@@ -70,8 +70,7 @@
         .field("pool", request.pool)
         .field("answer", decision == admission_decision::wait ? "wait" : "refuse")
         .field("waiting", static_cast<std::uint64_t>(admission.queue.size()))
-        .field("place_every_ms",
-               std::chrono::duration_cast<milliseconds>(release_rate.release_interval).count())
+        .field("place_every_ms", std::chrono::duration_cast<milliseconds>(rate.release_interval).count())
         .field("in_time_ms", until_soft_deadline.count())
         .write();
     m_state.counters.add(counter::queue_waits);
--- a/Libraries/Gateway/gateway/admission_controller.hpp
+++ b/Libraries/Gateway/gateway/admission_controller.hpp
@@ -28,12 +28,12 @@
     /// Waits for a permit. Returns false when the request is refused or its caller disconnected. After true,
     /// call `release_reservation` once the request counts as in flight at a target or is abandoned.
     [[nodiscard]] bool acquire_permit(admission_request const& request, interruption_notifier& notifier);
-    /// A request of this route arrived, or was sent to a target for the first time; see `route_shares`.
-    void record_arrival(std::string const& pool, std::uint32_t route, steady_time now) {
-        m_pools[pool].queue.record_arrival(route, now);
+    /// A request of these groups arrived, or was sent to a target for the first time; see `group_shares`.
+    void record_arrival(std::string const& pool, request_groups const& groups, steady_time now) {
+        m_pools[pool].queue.record_arrival(groups, now);
     }
-    void record_admission(std::string const& pool, std::uint32_t route, steady_time now) {
-        m_pools[pool].queue.record_admission(route, now);
+    void record_admission(std::string const& pool, request_groups const& groups, steady_time now) {
+        m_pools[pool].queue.record_admission(groups, now);
     }
     /// Ends the reservation of an acquired permit: the request is in flight at a target now, or was
     /// abandoned.
--- a/Libraries/Gateway/gateway/request_dispatcher.cpp
+++ b/Libraries/Gateway/gateway/request_dispatcher.cpp
@@ -87,6 +87,10 @@
     return milliseconds(std::min(value, routing_table_limits::max_deadline_ms));
 }
 
+std::uint32_t name_hash(std::string_view name) {
+    return static_cast<std::uint32_t>(XXH3_64bits(name.data(), name.size()));
+}
+
 std::string_view error_name(unsigned status) {
     return status == 404 ? "no_route" : status == 401 ? "unknown_key" : "unknown";
 }
@@ -113,9 +117,11 @@
     [[nodiscard]] std::int64_t priority() const {
         return workspace == nullptr ? route->priority : workspace->priority.value_or(route->priority);
     }
-    /// Stands for the route in `route_shares`; the same on every instance and in every version.
-    [[nodiscard]] std::uint32_t route_hash() const {
-        return static_cast<std::uint32_t>(XXH3_64bits(route->name.data(), route->name.size()));
+    /// The same on every instance and in every version of the tables.
+    [[nodiscard]] request_groups groups() const {
+        return {.route = name_hash(route->name),
+                // 0 stands for no workspace.
+                .workspace = workspace == nullptr ? 0U : std::max(1U, name_hash(workspace->name))};
     }
 };
 
@@ -287,7 +293,7 @@
         {.request_id = request.id,
          .pool = request.pool,
          .deadlines = {.priority = request.priority(),
-                       .route = request.route_hash(),
+                       .groups = request.groups(),
                        .soft_start_deadline = request.target_latency_deadline - service_time,
                        .hard_start_deadline = request.deadline - service_time}},
         request.notifier);
@@ -342,7 +348,7 @@
         }
         if (choice->is_preferred || round == max_choice_rounds) {
             if (attempts->states.empty()) {
-                m_admission.record_admission(request.pool, request.route_hash(), now);
+                m_admission.record_admission(request.pool, request.groups(), now);
             }
             prepare_attempt(request, *attempts, *choice, purpose);
             m_thread.spawn(
@@ -460,7 +466,7 @@
 http_response request_dispatcher::run_attempts(request_state& request) {
     auto const attempts = std::make_shared<attempt_set>();
     auto const& route = *request.route;
-    m_admission.record_arrival(request.pool, request.route_hash(), request.received);
+    m_admission.record_arrival(request.pool, request.groups(), request.received);
     auto& budget = m_state.extra_attempts.budget_for(request.pool);
     if (!start_attempt(request, attempts, "first")) {
         bool const is_paused =
