Tests: Check that one workspace does not fill a pool's queue

Cause: the bound of 1000 waiting requests of a workspace, half of the queue, had no test. Result: with 1000 waiting, the next of that workspace is refused and one of another workspace waits.

--- a/Tests/Coordination/test_admission_shares.cpp
+++ b/Tests/Coordination/test_admission_shares.cpp
@@ -157,6 +157,16 @@
     CHECK(queue.decide(deadlines(2, 200ms), rate, now) == admission_decision::wait);
 }
 
+// Guards against a queue that one workspace fills, so that it refuses all others.
+TEST(workspace_shares, a_workspace_does_not_fill_the_queue) {
+    for (int waiter = 0; waiter < 1000; ++waiter) {
+        queue.push(deadlines(1, 900s), waiter);
+    }
+    capacity_release_rate const rate{.release_interval = 1ms};
+    CHECK(queue.decide(deadlines(1, 900s), rate, now) == admission_decision::refuse);
+    CHECK(queue.decide(deadlines(2, 900s), rate, now) == admission_decision::wait);
+}
+
 // Guards against a steady workspace or a new one that is taken for a bursting one, and a burst that is not
 // seen.
 TEST(workspace_shares, only_a_burst_is_over_the_usual_rate) {
