Gateway: Spread Retry-After of refused requests by how long the queue needs

Cause: refused callers were told to return between 0.05 and 0.2 s later at random, also when the queue needed longer or many were refused at once. Change: retry_advice assigns the refused requests of a pool consecutive times after the queue is expected to be served, one in two releases of capacity, up to 1 s. It applies where the tables declare workspaces; elsewhere, and while the pool's service time is unknown, the former values stay. Result, in virtual time: of callers told by a queue of 0 to 80 with a release each 5 ms, all 40 start within two releases of their return. With the former values, 16 of 40 do where there is no queue, and the test that they do not return at once fails. test_coordination, test_entry and test_gateway pass. A returning request is not preferred: nothing in a request says that it returns (docs/design/queueing.md).

--- a/Libraries/Gateway/gateway/admission_controller.cpp
+++ b/Libraries/Gateway/gateway/admission_controller.cpp
@@ -1,11 +1,13 @@
 #include "gateway/admission_controller.hpp"
 
 #include "base/log.hpp"
+#include "base/random.hpp"
 
 #include <boost/fiber/condition_variable.hpp>
 #include <boost/fiber/mutex.hpp>
 
 #include <algorithm>
+#include <random>
 
 namespace pomelospread {
 
@@ -40,6 +42,17 @@
     return true;
 }
 
+capacity_release_rate admission_controller::release_rate(std::string const& pool) const {
+    auto const own_in_flight = std::max(1U, m_state.selector.own_pool_in_flight(pool));
+    return {.release_interval = m_state.selector.current_service_time(pool) / own_in_flight};
+}
+
+std::chrono::nanoseconds admission_controller::retry_delay(std::string const& pool, steady_time now) {
+    auto& admission = m_pools[pool];
+    return admission.retries.delay(admission.queue.size(), release_rate(pool).release_interval,
+                                   std::uniform_real_distribution(0.0, 1.0)(thread_random()), now);
+}
+
 bool admission_controller::acquire_permit(admission_request const& request, interruption_notifier& notifier) {
     auto& admission = m_pools[request.pool];
     auto const now = std::chrono::steady_clock::now();
@@ -52,9 +65,7 @@
     if (is_paused_too_long(request, now)) {
         return false;
     }
-    auto const own_in_flight = std::max(1U, m_state.selector.own_pool_in_flight(request.pool));
-    capacity_release_rate const rate{.release_interval = m_state.selector.current_service_time(request.pool) /
-                                                         own_in_flight};
+    auto const rate = release_rate(request.pool);
     // While all targets are paused no capacity is released; at the end of the first pause all of its
     // target's capacity is available at once.
     auto const start = m_state.selector.paused_until(request.pool, now).value_or(now);
--- a/Libraries/Gateway/gateway/admission_controller.hpp
+++ b/Libraries/Gateway/gateway/admission_controller.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "coordination/admission_queue.hpp"
+#include "coordination/retry_advice.hpp"
 #include "gateway/caller_server.hpp"
 #include "gateway/forwarding_state.hpp"
 
@@ -35,6 +36,8 @@
     void record_admission(std::string const& pool, request_groups const& groups, steady_time now) {
         m_pools[pool].queue.record_admission(groups, now);
     }
+    /// When a request that the pool refused should be sent again.
+    [[nodiscard]] std::chrono::nanoseconds retry_delay(std::string const& pool, steady_time now);
     /// Ends the reservation of an acquired permit: the request is in flight at a target now, or was
     /// abandoned.
     void release_reservation(std::string const& pool) { --m_pools[pool].reserved_permits; }
@@ -46,8 +49,10 @@
     struct waiter;
     /// Whether all targets of the pool want no request until it is too late for this one; logged if so.
     [[nodiscard]] bool is_paused_too_long(admission_request const& request, steady_time now) const;
+    [[nodiscard]] capacity_release_rate release_rate(std::string const& pool) const;
     struct pool_admission {
         admission_queue<std::shared_ptr<waiter>> queue;
+        retry_advice retries;
         std::size_t reserved_permits = 0; ///< Granted to requests that are not in flight at a target yet.
     };
 
--- a/Libraries/Gateway/gateway/request_dispatcher.cpp
+++ b/Libraries/Gateway/gateway/request_dispatcher.cpp
@@ -605,6 +605,9 @@
     bool const is_stopping = m_state.serving_ends_at != steady_time::max();
     auto seconds = is_stopping ? retry_elsewhere_after_s : min_retry_after_s + jitter * retry_after_jitter_s;
     auto const now = std::chrono::steady_clock::now();
+    if (!is_stopping && !request.pool.empty() && request.routes->tables().workspaces) {
+        seconds = std::chrono::duration<double>(m_admission.retry_delay(request.pool, now)).count();
+    }
     if (auto const paused_until = m_state.selector.paused_until(request.pool, now)) {
         seconds += std::chrono::duration<double>(*paused_until - now).count();
     }
