--- a/Libraries/Gateway/gateway/admission_controller.cpp
+++ b/Libraries/Gateway/gateway/admission_controller.cpp
@@ -1,11 +1,13 @@
 #include "gateway/admission_controller.hpp"
 
 #include "base/log.hpp"
+#include "base/random.hpp"
 
 #include <boost/fiber/condition_variable.hpp>
 #include <boost/fiber/mutex.hpp>
 
 #include <algorithm>
+#include <random>
 
 namespace pomelospread {
 
@@ -40,6 +42,17 @@
     return true;
 }
 
+capacity_release_rate admission_controller::release_rate(std::string const& pool) const {
+    auto const own_in_flight = std::max(1U, m_state.selector.own_pool_in_flight(pool));
+    return {.release_interval = m_state.selector.current_service_time(pool) / own_in_flight};
+}
+
+std::chrono::nanoseconds admission_controller::retry_delay(std::string const& pool, steady_time now) {
+    auto& admission = m_pools[pool];
+    return admission.retries.delay(admission.queue.size(), release_rate(pool).release_interval,
+                                   std::uniform_real_distribution(0.0, 1.0)(thread_random()), now);
+}
+
 bool admission_controller::acquire_permit(admission_request const& request, interruption_notifier& notifier) {
     auto& admission = m_pools[request.pool];
     auto const now = std::chrono::steady_clock::now();
@@ -52,9 +65,7 @@
     if (is_paused_too_long(request, now)) {
         return false;
     }
-    auto const own_in_flight = std::max(1U, m_state.selector.own_pool_in_flight(request.pool));
-    capacity_release_rate const release_rate{
-        .release_interval = m_state.selector.current_service_time(request.pool) / own_in_flight};
+    auto const rate = release_rate(request.pool);
     // While all targets are paused no capacity is released; at the end of the first pause all of its
     // target's capacity is available at once.
     auto const start = m_state.selector.paused_until(request.pool, now).value_or(now);
@@ -62,7 +73,7 @@
     bool const is_pause_enough = start > now && m_state.selector.available_capacity(request.pool, start) >=
                                                     static_cast<double>(awaited_permits);
     auto const decision =
-        is_pause_enough ? admission_decision::wait : admission.queue.decide(deadlines, release_rate, start);
+        is_pause_enough ? admission_decision::wait : admission.queue.decide(deadlines, rate, start);
     auto const until_soft_deadline =
         std::chrono::duration_cast<milliseconds>(deadlines.soft_start_deadline - now);
     log_line(log_level::info, "no_place")
@@ -70,8 +81,7 @@
         .field("pool", request.pool)
         .field("answer", decision == admission_decision::wait ? "wait" : "refuse")
         .field("waiting", static_cast<std::uint64_t>(admission.queue.size()))
-        .field("place_every_ms",
-               std::chrono::duration_cast<milliseconds>(release_rate.release_interval).count())
+        .field("place_every_ms", std::chrono::duration_cast<milliseconds>(rate.release_interval).count())
         .field("in_time_ms", until_soft_deadline.count())
         .write();
     m_state.counters.add(counter::queue_waits);
