Coordination: Estimate a pool's 95th percentile and tell what targets reported

Cause: the decision about hedges knew neither what other requests needed nor what the request's target had reported meanwhile. target_selector keeps a decaying estimate of the 95th percentile of the response times and returns last reports, the mean slowdown and the best target with a recent report.

--- a/Libraries/Coordination/coordination/target_pool.cpp
+++ b/Libraries/Coordination/coordination/target_pool.cpp
@@ -15,7 +15,6 @@
 constexpr std::uint32_t other_zone_penalty = 4;
 constexpr std::int64_t no_slow_start = -1;
 constexpr std::uint32_t max_full_scan = 64;
-constexpr double quantile_step = 0.05;
 
 } // namespace
 
@@ -29,19 +28,6 @@
     return "least_in_flight";
 }
 
-void quantile_estimate::observe(nanoseconds latency) noexcept {
-    auto const estimate = m_estimate.load(std::memory_order_relaxed);
-    if (estimate == 0) {
-        m_estimate.store(latency.count(), std::memory_order_relaxed);
-        return;
-    }
-    auto const step = static_cast<double>(estimate) * quantile_step;
-    bool const above = latency.count() > estimate;
-    auto const change = above ? step * m_quantile : -step * (1.0 - m_quantile);
-    m_estimate.store(std::max<std::int64_t>(1, estimate + static_cast<std::int64_t>(change)),
-                     std::memory_order_relaxed);
-}
-
 target_pool::target_pool(pool_row const& row, std::string_view own_zone, target_pool_policy policy,
                          nanoseconds now, target_pool const* previous)
     : m_row(row), m_policy(policy),
--- a/Libraries/Coordination/coordination/target_pool.hpp
+++ b/Libraries/Coordination/coordination/target_pool.hpp
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "base/random.hpp"
+#include "coordination/quantile_estimate.hpp"
 #include "coordination/ratio_budget.hpp"
 #include "state/routing_tables.hpp"
 
@@ -21,9 +22,6 @@
 
 namespace pomelospread {
 
-/// Time since an arbitrary start, in nanoseconds.
-using nanoseconds = std::chrono::nanoseconds;
-
 /// Each switch can turn one part of the policy off, so that the effect of that part can be measured.
 struct target_pool_policy {
     bool straggler_avoidance = true; ///< Prefer targets without overdue requests.
@@ -67,24 +65,6 @@
     choice_reason reason = choice_reason::least_in_flight;
 };
 
-/// Estimates a latency quantile in steps (Ma, Muthukrishnan and Sandler, "Frugal streaming for estimating
-/// quantiles", 2013) that are proportional to the estimate. Thread-safe and lock-free; concurrent updates may
-/// lose a step.
-class quantile_estimate {
-public:
-    explicit quantile_estimate(double quantile) noexcept : m_quantile(quantile) {}
-
-    void observe(nanoseconds latency) noexcept;
-    /// Zero until the first observation.
-    [[nodiscard]] nanoseconds value() const noexcept {
-        return nanoseconds(m_estimate.load(std::memory_order_relaxed));
-    }
-
-private:
-    double m_quantile;
-    std::atomic<std::int64_t> m_estimate{0};
-};
-
 /// One instance's state of one pool. `try_acquire` and `release` are thread-safe and lock-free.
 class target_pool {
 public:
--- a/Libraries/Coordination/coordination/target_selector.cpp
+++ b/Libraries/Coordination/coordination/target_selector.cpp
@@ -436,6 +436,7 @@
             to_ms(result.latency) / std::max(1.0, result.slowdown.value_or(pool.mean_slowdown));
         update_mean(pool.typical_service_ms, normalized_ms, service_time_weight);
         update_mean(pool.mean_service_ms, to_ms(result.latency), service_time_weight);
+        pool.high_response_time.observe(result.latency);
         break;
     }
     case attempt_outcome::failed:
@@ -446,6 +447,12 @@
         failure = 0.5;
         break;
     case attempt_outcome::cancelled:
+        // An attempt that was cancelled after the estimated quantile lies above it. Without these, the
+        // losers of hedges would lower the estimate and cause further hedges.
+        if (auto const estimate = pool.high_response_time.value();
+            estimate > std::chrono::nanoseconds::zero() && result.latency > estimate) {
+            pool.high_response_time.observe(result.latency);
+        }
         return;
     }
     update_failure_rate(state, failure, now);
@@ -514,6 +521,42 @@
     return first;
 }
 
+std::optional<target_choice> target_selector::best_reported_target(std::string_view pool,
+                                                                   std::span<std::string const> excluded,
+                                                                   std::chrono::milliseconds max_age,
+                                                                   time_point now) const {
+    auto const found = m_pools.find(pool);
+    if (found == m_pools.end()) {
+        return std::nullopt;
+    }
+    auto estimates = estimate_candidates(found->second, excluded, now);
+    std::erase_if(estimates, [&](auto const& each) {
+        return each.report_age_ms < 0 || each.report_age_ms > max_age.count();
+    });
+    if (estimates.empty()) {
+        return std::nullopt;
+    }
+    return make_choice(*std::ranges::min_element(estimates, {}, &candidate_estimate::expected_ms));
+}
+
+std::optional<reported_slowdown> target_selector::last_report(std::string const& id) const {
+    auto const found = m_targets.find(id);
+    if (found == m_targets.end() || !found->second.reported_at) {
+        return std::nullopt;
+    }
+    return reported_slowdown{.slowdown = found->second.slowdown, .reported_at = *found->second.reported_at};
+}
+
+double target_selector::mean_slowdown(std::string_view pool) const {
+    auto const found = m_pools.find(pool);
+    return found == m_pools.end() ? 1.0 : found->second.mean_slowdown;
+}
+
+std::chrono::nanoseconds target_selector::high_response_time(std::string_view pool) const {
+    auto const found = m_pools.find(pool);
+    return found == m_pools.end() ? std::chrono::nanoseconds() : found->second.high_response_time.value();
+}
+
 std::chrono::nanoseconds target_selector::typical_service_time(std::string_view pool) const {
     auto const found = m_pools.find(pool);
     if (found == m_pools.end()) {
--- a/Libraries/Coordination/coordination/target_selector.hpp
+++ b/Libraries/Coordination/coordination/target_selector.hpp
@@ -4,6 +4,7 @@
 
 #include "base/random.hpp"
 #include "coordination/cold_target_limits.hpp"
+#include "coordination/quantile_estimate.hpp"
 #include "coordination/slot_claims.hpp"
 #include "coordination/target_exclusions.hpp"
 #include "coordination/target_list_cache.hpp"
@@ -111,6 +112,12 @@
     bool is_preferred = false;
 };
 
+/// What a target reported last.
+struct reported_slowdown {
+    double slowdown = 1.0;
+    std::chrono::steady_clock::time_point reported_at;
+};
+
 /// One instance's state of every listed target. Not thread-safe; time and randomness are passed in.
 class target_selector {
 public:
@@ -177,6 +184,19 @@
     probe_candidates(std::string_view pool, std::span<std::string const> excluded, std::size_t count,
                      std::chrono::milliseconds fresh, time_point now, random_source& random) const;
 
+    /// The usable target with the least expected time among those that reported within `max_age`.
+    [[nodiscard]] std::optional<target_choice> best_reported_target(std::string_view pool,
+                                                                    std::span<std::string const> excluded,
+                                                                    std::chrono::milliseconds max_age,
+                                                                    time_point now) const;
+    /// Nothing while the target has sent no load report.
+    [[nodiscard]] std::optional<reported_slowdown> last_report(std::string const& id) const;
+    /// Mean of the slowdowns that the pool's targets report.
+    [[nodiscard]] double mean_slowdown(std::string_view pool) const;
+    /// The 95th percentile of the pool's response times, counted from the sending of each attempt; zero until
+    /// a request was measured.
+    [[nodiscard]] std::chrono::nanoseconds high_response_time(std::string_view pool) const;
+
     /// Typical service time of the pool without slowdown; zero until a request was measured.
     [[nodiscard]] std::chrono::nanoseconds typical_service_time(std::string_view pool) const;
     /// Further requests that the pool's eligible targets can take now without being nearly full.
@@ -237,6 +257,7 @@
         double typical_service_ms = 0;            ///< Without slowdown.
         double mean_service_ms = 0;               ///< As measured.
         double mean_slowdown = 1.5;
+        quantile_estimate high_response_time{0.95};
         double warm_up_requests_per_second = 0; ///< 0: unlimited.
         std::chrono::milliseconds warm_up_time{0};
         std::size_t home_count = 1;
--- a/Tests/Coordination/test_target_selector.cpp
+++ b/Tests/Coordination/test_target_selector.cpp
@@ -488,3 +488,38 @@
         CHECK(selector.choose("p", {}, now, random)->is_preferred);
     }
 }
+
+TEST(target_selectors, losers_of_hedges_do_not_lower_the_high_response_time) {
+    // Guards against an estimate that only sees the attempts which hedges left: it would fall towards the
+    // typical time and cause ever more hedges.
+    list({target("a")});
+    auto const finish = [&](attempt_outcome outcome, std::chrono::milliseconds latency) {
+        std::string const id = "a";
+        selector.attempt_started(id, now);
+        selector.attempt_finished(
+            {.target = id, .outcome = outcome, .latency = latency, .slowdown = std::nullopt}, now);
+    };
+    for (int i = 0; i < 2000; ++i) {
+        // One of ten attempts is slow and is cancelled when it outlives the others.
+        bool const is_slow = i % 10 == 0;
+        finish(is_slow ? attempt_outcome::cancelled : attempt_outcome::succeeded, is_slow ? 500ms : 100ms);
+    }
+    CHECK(selector.high_response_time("p") > 300ms);
+    CHECK(selector.high_response_time("p") < 600ms);
+}
+
+TEST(target_selectors, best_reported_target_has_a_recent_report) {
+    // Guards against a hedge to a target whose state is unknown or was reported too long ago.
+    list({target("a"), target("b"), target("c")});
+    CHECK_FALSE(selector.best_reported_target("p", {}, 25ms, now));
+    selector.apply_load_report("a", normal, now);
+    selector.apply_load_report("b", slow, now + 10ms);
+    now += 20ms;
+    STRCMP_EQUAL("a", selector.best_reported_target("p", {}, 25ms, now)->id.c_str());
+    now += 10ms;
+    STRCMP_EQUAL("b", selector.best_reported_target("p", {}, 25ms, now)->id.c_str());
+    std::vector<std::string> const excluded{"b"};
+    CHECK_FALSE(selector.best_reported_target("p", excluded, 25ms, now));
+    DOUBLES_EQUAL(5.0, selector.last_report("b")->slowdown, 0.0);
+    CHECK_FALSE(selector.last_report("c"));
+}
