--- a/Libraries/Base/base/flags.cpp
+++ b/Libraries/Base/base/flags.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::string_view environment_prefix = "POMELOSPREAD_";
+constexpr std::string_view shared_name_prefix = "forward_";
 
 bool is_defined_in(gflags::CommandLineFlagInfo const& info, std::string_view file) {
     return info.filename.find(file) != std::string::npos;
@@ -22,6 +23,13 @@
     return all;
 }
 
+/// The name under which the flag is set. All commands of a program share one registry of flags, so a setting
+/// whose name another command uses too is defined with the prefix.
+std::string setting_name(gflags::CommandLineFlagInfo const& info) {
+    return info.name.starts_with(shared_name_prefix) ? info.name.substr(shared_name_prefix.size())
+                                                     : info.name;
+}
+
 std::string environment_name(std::string const& flag) {
     auto name = std::string(environment_prefix);
     for (char const c : flag) {
@@ -48,13 +56,14 @@
 
 private:
     gflags::CommandLineFlagInfo const* find(std::string_view name) const {
-        auto const found = std::ranges::find_if(m_flags, [&](auto const& info) { return info.name == name; });
+        auto const found =
+            std::ranges::find_if(m_flags, [&](auto const& info) { return setting_name(info) == name; });
         return found == m_flags.end() ? nullptr : &*found;
     }
 
     void read_environment() {
         for (auto const& info : m_flags) {
-            auto const variable = environment_name(info.name);
+            auto const variable = environment_name(setting_name(info));
             if (char const* value = std::getenv(variable.c_str()); value != nullptr) {
                 set(info, value, variable);
             }
@@ -86,12 +95,12 @@
 
     void read_without_equals(std::string_view name) {
         if (auto const* info = find(name); info != nullptr && info->type == "bool") {
-            set(*info, "true", "--" + info->name);
+            set(*info, "true", "--" + setting_name(*info));
             return;
         }
         if (auto const* info = name.starts_with("no") ? find(name.substr(2)) : nullptr;
             info != nullptr && info->type == "bool") {
-            set(*info, "false", "--" + info->name);
+            set(*info, "false", "--" + setting_name(*info));
             return;
         }
         if (find(name) != nullptr && m_next < m_arguments.size()) {
@@ -109,7 +118,7 @@
                                   .allowed = "the settings that --help lists"});
             return;
         }
-        set(*info, value, "--" + info->name);
+        set(*info, value, "--" + setting_name(*info));
     }
 
     void set(gflags::CommandLineFlagInfo const& info, std::string const& value, std::string const& source) {
@@ -136,8 +145,9 @@
 std::string describe_flags(std::string_view definition_file) {
     std::string text;
     for (auto const& info : flags_defined_in(definition_file)) {
-        text += "  --" + info.name + " (" + info.type + ", default \"" + info.default_value + "\", " +
-                environment_name(info.name) + ")\n      " + info.description + "\n";
+        auto const name = setting_name(info);
+        text += "  --" + name + " (" + info.type + ", default \"" + info.default_value + "\", " +
+                environment_name(name) + ")\n      " + info.description + "\n";
     }
     return text;
 }
--- a/Libraries/Base/base/flags.hpp
+++ b/Libraries/Base/base/flags.hpp
@@ -29,7 +29,8 @@
 /// Sets flags from the environment variables `POMELOSPREAD_<NAME>`, then from `--name=value`, `--name value`,
 /// `--name` and `--noname` in `arguments` (without the program's name), so that the command line takes
 /// precedence. Accepts only flags defined in a source file whose path contains `definition_file`.
-/// Throws `invalid_input` that lists every unknown flag and every value of the wrong type.
+/// A flag that is defined as `forward_NAME` is set as `NAME`, so that two commands can have settings of one
+/// name. Throws `invalid_input` that lists every unknown flag and every value of the wrong type.
 parsed_command_line parse_command_line(std::span<char* const> arguments, std::string_view definition_file);
 
 /// Formats a help text: each flag of `definition_file` with its type, default, environment variable and
--- a/Tests/Base/test_base.cpp
+++ b/Tests/Base/test_base.cpp
@@ -8,6 +8,7 @@
 #include <array>
 
 DEFINE_int64(test_number, 1, "A number.");
+DEFINE_int64(forward_test_shared, 0, "A name that two commands use.");
 DEFINE_bool(test_switch, false, "A switch.");
 
 using namespace pomelospread;
@@ -47,6 +48,15 @@
     CHECK_FALSE(FLAGS_test_switch);
 }
 
+TEST(flags, a_name_that_two_commands_use_is_set_without_its_prefix) {
+    // Guards against a setting that only its internal name sets, or that help and errors name differently.
+    parse_arguments({"--test_shared=9"});
+    LONGS_EQUAL(9, FLAGS_forward_test_shared);
+    expect_invalid_input([] { parse_arguments({"--test_shared=nine"}); }, "--test_shared");
+    expect_invalid_input([] { parse_arguments({"--forward_test_shared=9"}); }, "--forward_test_shared");
+    CHECK(describe_flags("test_base.cpp").find("--test_shared (") != std::string::npos);
+}
+
 TEST(flags, reports_every_problem_at_once) {
     auto const parse_invalid = [] { parse_arguments({"--test_number=seven", "--no_such=1"}); };
     expect_invalid_input(parse_invalid, "--test_number");
