Gateway: Hedge by hedge_policy within a limit of its own

Cause: hedges were limited only together with retries, could go to a target of unknown state, and waited for a permit and for probes while the first response was held back.

--- a/Libraries/Base/base/metrics.cpp
+++ b/Libraries/Base/base/metrics.cpp
@@ -65,7 +65,8 @@
     "requests_without_workspace",
     "refused_over_rate",
     "token_bytes_own_zone",
-    "token_bytes_other_zones"};
+    "token_bytes_other_zones",
+    "hedges_over_limit"};
 
 void append_sample(std::string& text, std::string_view name, std::string_view suffix, std::string_view labels,
                    std::string const& value) {
--- a/Libraries/Base/base/metrics.hpp
+++ b/Libraries/Base/base/metrics.hpp
@@ -72,6 +72,7 @@
     refused_over_rate,
     token_bytes_own_zone,
     token_bytes_other_zones,
+    hedges_over_limit,
     count,
 };
 
--- a/Libraries/Gateway/gateway/fleet_synchronizer.cpp
+++ b/Libraries/Gateway/gateway/fleet_synchronizer.cpp
@@ -599,8 +599,10 @@
                                {.max_direct_fleet_size = m_state.settings.max_direct_fleet_size});
     m_homes.refresh(*m_state.routes.load(), members);
     m_state.max_homes_per_host = m_homes.max_homes_per_host();
-    m_state.extra_attempts.set_home_count(
-        m_homes.is_home(m_membership.self().peer_address) ? m_homes.max_homes_per_host() : 0);
+    auto const home_count =
+        m_homes.is_home(m_membership.self().peer_address) ? m_homes.max_homes_per_host() : 0;
+    m_state.extra_attempts.set_home_count(home_count);
+    m_state.hedges.set_home_count(home_count);
     refresh_rate_holders(members);
     refresh_slot_claims();
 }
--- a/Libraries/Gateway/gateway/forwarding_state.cpp
+++ b/Libraries/Gateway/gateway/forwarding_state.cpp
@@ -25,6 +25,7 @@
       routes(std::make_shared<route_index const>(routing_tables{})),
       selector(settings.zone, {.cold_targets = {.fleet_slack = settings.cold_target_slack}}),
       extra_attempts(settings.extra_attempt_ratio, settings.extra_attempt_burst),
+      hedges(settings.hedge_ratio, settings.extra_attempt_burst),
       rates({.fleet_slack = settings.workspace_rate_slack}),
       account(self, settings.journal_capacity, counters) {}
 
--- a/Libraries/Gateway/gateway/forwarding_state.hpp
+++ b/Libraries/Gateway/gateway/forwarding_state.hpp
@@ -52,6 +52,8 @@
     target_selector selector;
     std::size_t max_homes_per_host = 1; ///< Largest number of homes that the callers of one host have.
     extra_attempt_budgets extra_attempts;
+    /// The limit of hedges alone; a hedge is also withdrawn from `extra_attempts`. The burst is the same.
+    extra_attempt_budgets hedges;
     workspace_rates rates;
     load_change_collector pending_load_changes;
     metrics counters;
--- a/Libraries/Gateway/gateway/gateway_settings.cpp
+++ b/Libraries/Gateway/gateway/gateway_settings.cpp
@@ -26,6 +26,9 @@
 DEFINE_double(
     extra_slack, 40,
     "Unused retries and hedges of that share that can accumulate, over the entire fleet, 0 to 100000.");
+DEFINE_double(forward_hedge_share, 0.05,
+              "Hedges per request, over the entire fleet, 0 to 1; 0 for none. Each also counts towards "
+              "--extra_share.");
 DEFINE_double(account_flush_s, 10, "Time between writes of the account records, 0.1 to 600 s.");
 DEFINE_int64(homes_per_zone, 2,
              "Minimum number of instances in a zone that receive the callers of a pool, 1 to 1000.");
@@ -84,6 +87,8 @@
             checked_number("extra_share", FLAGS_extra_share, 0, 1) * used_ratio_share;
         result.extra_attempt_burst =
             checked_number("extra_slack", FLAGS_extra_slack, 0, 100000) * used_burst_share;
+        result.hedge_ratio =
+            checked_number("hedge_share", FLAGS_forward_hedge_share, 0, 1) * used_ratio_share;
         result.fleet_probes_per_target_per_second =
             checked_number("checks_per_s", FLAGS_checks_per_s, 0, 10000) * used_probe_rate_share;
         result.probed_candidates = checked_count("checked_candidates", FLAGS_checked_candidates, 0, 16);
--- a/Libraries/Gateway/gateway/gateway_settings.hpp
+++ b/Libraries/Gateway/gateway/gateway_settings.hpp
@@ -31,6 +31,7 @@
     std::chrono::milliseconds account_flush_interval{10000};
     double extra_attempt_ratio = 0.2;               ///< Extra attempts per request, over the fleet.
     double extra_attempt_burst = 20;                ///< Most extra attempts in a burst, over the fleet.
+    double hedge_ratio = 0.05;                      ///< Hedges per request, over the fleet; 0 for none.
     home_limits homes;                              ///< Minimum homes of a pool in each zone.
     std::uint32_t processor_permille = 1000;        ///< Thousandths of a core that this instance may use.
     double fleet_probes_per_target_per_second = 30; ///< Load probes of one target, over the fleet.
--- a/Libraries/Gateway/gateway/request_dispatcher.cpp
+++ b/Libraries/Gateway/gateway/request_dispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.hpp"
 #include "base/random.hpp"
+#include "coordination/hedge_inputs.hpp"
 #include "gateway/target_notices.hpp"
 
 #include <boost/beast/http.hpp>
@@ -39,14 +40,9 @@
 constexpr auto max_probe_wait = milliseconds(12);
 /// How often a request waits for a permit before it is sent to a target that turned out to be slow or full.
 constexpr int max_choice_rounds = 8;
-/// Available capacity that a pool must have before a hedge is sent.
-constexpr double min_hedge_capacity = 3;
 /// A retry needs at least this share of the typical service time until the deadline; with less, it has hardly
 /// a chance to finish.
 constexpr double min_retry_time_ratio = 0.5;
-/// A hedge is sent no earlier than this multiple of the typical service time after the request's arrival,
-/// when most requests have received their response.
-constexpr double min_hedge_delay_ratio = 1.2;
 
 std::string_view to_std_view(boost::beast::string_view text) {
     return {text.data(), text.size()};
@@ -128,6 +124,7 @@
     steady_time started;
     steady_time deadline;
     target_client::exchange_handle handle;
+    bool is_hedge = false;
     bool is_finished = false;
     bool is_result_handled = false;
     exchange_report report;
@@ -137,6 +134,9 @@
 struct request_dispatcher::attempt_set {
     std::vector<std::shared_ptr<attempt_state>> states;
     std::vector<std::string> excluded_targets;
+    steady_time hedge_look_at = steady_time::min();
+    steady_time next_hedge_probe_at = steady_time::min();
+    bool is_hedge_over_limit = false;
     boost::fibers::mutex mutex;
     boost::fibers::condition_variable changed;
 
@@ -155,6 +155,11 @@
     [[nodiscard]] std::int64_t sent_count() const {
         return std::ranges::count_if(states, [](auto const& each) { return each->handle.is_sent(); });
     }
+    /// Also counts the attempts that are still being connected.
+    [[nodiscard]] std::int64_t possibly_sent_count() const {
+        return std::ranges::count_if(
+            states, [](auto const& each) { return !each->is_finished || each->handle.is_sent(); });
+    }
 };
 
 request_dispatcher::request_dispatcher(io_thread& thread, forwarding_state& state, target_client& targets)
@@ -223,6 +228,7 @@
     request.pool = choose_pool(route);
     request.sequence = m_state.account.append(record).value_or(0);
     m_state.extra_attempts.budget_for(request.pool).deposit();
+    m_state.hedges.budget_for(request.pool).deposit();
     return run_attempts(request);
 }
 
@@ -270,15 +276,77 @@
     return route.weighted_pools.back().pool;
 }
 
-steady_time request_dispatcher::hedge_time(request_state const& request) const {
-    auto const service_time = m_state.selector.typical_service_time(request.pool);
-    auto const earliest =
-        request.received + std::chrono::nanoseconds(static_cast<std::int64_t>(
-                               static_cast<double>(service_time.count()) * min_hedge_delay_ratio));
-    // Late enough to spare most hedges, and early enough for a hedge of typical service time to be on time
-    // with 20 ms to spare. When `earliest` is later than this, the hedge is sent then.
-    auto const latest_on_time = request.target_latency_deadline - service_time - milliseconds(20);
-    return std::max(earliest, latest_on_time);
+steady_time request_dispatcher::consider_hedge(request_state& request,
+                                               std::shared_ptr<attempt_set> const& attempts,
+                                               steady_time now) {
+    auto const& current = **std::ranges::find_if(attempts->states.rbegin(), attempts->states.rend(),
+                                                 [](auto const& each) { return !each->is_finished; });
+    hedged_request subject{.age = now - request.received,
+                           .time_since_sent = now - current.started,
+                           .objective = request.target_latency_deadline - request.received,
+                           .deadline = request.deadline - request.received,
+                           .attempts = attempts->possibly_sent_count(),
+                           .max_attempts = request.route->max_attempts};
+    set_last_report(subject, m_state.selector, current.target, now);
+    auto const times = read_pool_times(m_state.selector, request.pool);
+    std::optional<target_choice> best;
+    hedge_room room;
+    if (m_hedge_policy.find_reason(subject, times)) {
+        best = m_state.selector.best_reported_target(request.pool, attempts->excluded_targets,
+                                                     m_hedge_policy.limits().max_report_age, now);
+        room = {.best_target = to_hedge_target(best),
+                .has_queued_requests = m_admission.has_queued_requests(request.pool),
+                .available_capacity = m_state.selector.available_capacity(request.pool, now)};
+    }
+    auto const decision = m_hedge_policy.decide(subject, times, room);
+    if (decision.action == hedge_action::never) {
+        return steady_time::max();
+    }
+    if (decision.needs_report) {
+        probe_for_hedge(request, attempts, now);
+    }
+    if (decision.action == hedge_action::look_again) {
+        return request.received + decision.look_at;
+    }
+    auto const next_look = now + m_hedge_policy.limits().blocked_look_interval;
+    auto& hedges = m_state.hedges.budget_for(request.pool);
+    if (hedges.balance() < 1.0 || !m_state.extra_attempts.budget_for(request.pool).try_withdraw()) {
+        if (!std::exchange(attempts->is_hedge_over_limit, true)) {
+            m_state.counters.add(counter::hedges_over_limit);
+        }
+        return next_look;
+    }
+    static_cast<void>(hedges.try_withdraw());
+    m_state.counters.add(counter::hedges);
+    prepare_attempt(request, *attempts, *best, "hedge");
+    attempts->states.back()->is_hedge = true;
+    m_thread.spawn([this, attempts, state = attempts->states.back()] { run_attempt(attempts, state); });
+    return next_look;
+}
+
+void request_dispatcher::probe_for_hedge(request_state const& request,
+                                         std::shared_ptr<attempt_set> const& attempts, steady_time now) {
+    auto const pool = std::ranges::find(request.routes->tables().pools, request.pool, &pool_row::name);
+    if (now < attempts->next_hedge_probe_at || pool == request.routes->tables().pools.end() ||
+        pool->health_path.empty()) {
+        return;
+    }
+    attempts->next_hedge_probe_at = now + m_hedge_policy.limits().max_report_age;
+    std::vector<load_prober::probe_target> targets;
+    for (auto const& each : m_state.selector.probe_candidates(
+             request.pool, attempts->excluded_targets, m_state.settings.probed_candidates,
+             m_hedge_policy.limits().max_report_age, now, thread_random())) {
+        targets.push_back({.id = each.id, .incarnation = each.incarnation, .address = each.address});
+    }
+    if (targets.empty()) {
+        return;
+    }
+    // In a fiber of its own: the first attempt's response must not wait for the probes.
+    m_thread.spawn([this, attempts, targets, path = pool->health_path, until = now + max_probe_wait] {
+        m_load_prober.probe_targets(targets, path, until);
+        attempts->hedge_look_at = std::chrono::steady_clock::now();
+        attempts->changed.notify_all();
+    });
 }
 
 bool request_dispatcher::wait_for_permit(request_state const& request) {
@@ -398,6 +466,7 @@
     m_state.selector.attempt_started(choice.id, now);
     m_state.pending_load_changes.record_attempt_started(choice.id);
     m_state.counters.add(counter::target_exchanges);
+    attempts.hedge_look_at = now;
     attempts.excluded_targets.push_back(choice.id);
     attempts.states.push_back(std::move(state));
 }
@@ -468,8 +537,7 @@
         return finish_not_run(request,
                               is_paused ? "every target asked for a pause" : "no place at a target in time");
     }
-    auto const hedge_at = hedge_time(request);
-    bool hedge_decided = !route.idempotent || route.max_attempts < 2;
+    bool const may_hedge = route.idempotent && m_state.settings.hedge_ratio > 0;
     /// The last 5xx response to an idempotent request; the caller receives it if no further attempt gets a
     /// response below 500 or can be made.
     std::optional<http_response> error_response;
@@ -490,6 +558,9 @@
                 may_have_run = true;
                 if (report.response->result_int() < 500 || !route.idempotent) {
                     attempts->cancel_unfinished();
+                    if (each->is_hedge) {
+                        m_state.counters.add(counter::hedge_wins);
+                    }
                     return finish_request(request, std::move(*report.response), "ran");
                 }
                 error_response = std::move(report.response);
@@ -544,21 +615,11 @@
             return finish_failed(request, 504, "no answer in time");
         }
         auto wake_at = request.deadline + response_grace_period;
-        if (!hedge_decided) {
-            if (now >= hedge_at) {
-                hedge_decided = true;
-                // Under load a hedge would take capacity from requests that wait for a permit.
-                bool const has_spare_capacity =
-                    !m_admission.has_queued_requests(request.pool) &&
-                    m_state.selector.available_capacity(request.pool, now) >= min_hedge_capacity;
-                if (attempts->sent_count() < route.max_attempts && has_spare_capacity &&
-                    budget.try_withdraw()) {
-                    m_state.counters.add(counter::hedges);
-                    static_cast<void>(start_attempt(request, attempts, "hedge"));
-                }
-                continue;
+        if (may_hedge) {
+            if (now >= attempts->hedge_look_at) {
+                attempts->hedge_look_at = consider_hedge(request, attempts, now);
             }
-            wake_at = std::min(wake_at, hedge_at);
+            wake_at = std::min(wake_at, attempts->hedge_look_at);
         }
         std::unique_lock lock(attempts->mutex);
         attempts->changed.wait_until(lock, wake_at);
--- a/Libraries/Gateway/gateway/request_dispatcher.hpp
+++ b/Libraries/Gateway/gateway/request_dispatcher.hpp
@@ -2,6 +2,7 @@
 // response.
 #pragma once
 
+#include "coordination/hedge_policy.hpp"
 #include "gateway/admission_controller.hpp"
 #include "gateway/caller_server.hpp"
 #include "gateway/forwarding_state.hpp"
@@ -51,7 +52,12 @@
                      std::shared_ptr<attempt_state> const& state);
     void record_attempt_result(attempt_state const& state, exchange_report const& report);
     [[nodiscard]] std::string choose_pool(route_row const& route) const;
-    [[nodiscard]] steady_time hedge_time(request_state const& request) const;
+    /// Sends a hedge if that is decided now; does not suspend the fiber. Returns when to look again.
+    [[nodiscard]] steady_time consider_hedge(request_state& request,
+                                             std::shared_ptr<attempt_set> const& attempts, steady_time now);
+    /// Starts load probes and has the request look again after them.
+    void probe_for_hedge(request_state const& request, std::shared_ptr<attempt_set> const& attempts,
+                         steady_time now);
     /// The instance is about to end: responds with what is known now.
     [[nodiscard]] http_response finish_interrupted(request_state& request, attempt_set& attempts,
                                                    bool may_have_run,
@@ -69,6 +75,7 @@
     target_client& m_target_client;
     load_prober m_load_prober;
     admission_controller m_admission;
+    hedge_policy m_hedge_policy;
 };
 
 } // namespace pomelospread
--- a/Tests/Processes/test_forwarding.py
+++ b/Tests/Processes/test_forwarding.py
@@ -486,13 +486,39 @@
         # The kernel can complete one connection between the last accept and the close of the listener.
         self.assertLessEqual(len(unanswered), 1, unanswered)
 
+    def test_slow_response_is_hedged_unless_hedges_are_switched_off(self):
+        # Guards against a hedge that is not sent, holds the caller until the first attempt ends, leaves the loser
+        # running, or is sent although the operator switched hedges off.
+        ports = {name: fleets.free_port() for name in LISTENERS}
+        without_hedges = ForwardingInstance("127.0.0.12", ports, self.store, self.folder, settings={"hedge_share": 0})
+        self.addCleanup(without_hedges.kill)
+        without_hedges.wait_until_ready()
+        for instance, name, expected_target in ((self.instance, "h", b"i-sound"), (without_hedges, "n", b"i-faulty")):
+            for i in range(60):  # Each allows a part of a hedge.
+                instance.send_request("/read/plain", f"{name}p{i}")
+            for i in range(30):
+                request = f"{name}{i}"
+                started = time.monotonic()
+                body = instance.send_request("/read/slow1", request)[2]
+                if request in self.faulty.executed_ids:
+                    break
+            self.assertIn(request, self.faulty.executed_ids)
+            self.assertEqual(body, expected_target + b" " + request.encode())
+            self.assertEqual(time.monotonic() - started < 0.7, expected_target == b"i-sound")
+            metrics = instance.exchange("metrics", b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")[2].decode()
+            hedges = 1 if expected_target == b"i-sound" else 0
+            self.assertIn(f"pomelospread_hedges_total {hedges}\n", metrics)
+            self.assertIn(f"pomelospread_hedge_wins_total {hedges}\n", metrics)
+        self.wait_until(lambda: any(cancelled.startswith("h") for cancelled in self.faulty.cancelled_ids))
+
     def test_invalid_settings_report_field_and_range(self):
         invalid = fleets.subprocess.run(
             [fleets.BUILD / "Programs/pomelospread", "forward", "--check_settings", "--callers=here",
-             "--extra_share=7"], capture_output=True, text=True, timeout=10)
+             "--extra_share=7", "--hedge_share=1.5"], capture_output=True, text=True, timeout=10)
         self.assertEqual(invalid.returncode, 64)
         self.assertIn("--callers", invalid.stderr)
         self.assertIn("--extra_share: 7.000000 is out of range", invalid.stderr)
+        self.assertIn("--hedge_share: 1.500000 is out of range (allowed: 0 to 1)", invalid.stderr)
 
 
 if __name__ == "__main__":
