--- a/Libraries/Coordination/coordination/hedge_policy.cpp
+++ b/Libraries/Coordination/coordination/hedge_policy.cpp
@@ -23,7 +23,8 @@
 }
 
 nanoseconds hedge_policy::outlived_after(hedge_pool_times const& times) const {
-    return std::max(times.high_response_time, scaled(times.typical_service_time, m_limits.min_delay_ratio));
+    return std::max({times.high_response_time, scaled(times.typical_service_time, m_limits.min_delay_ratio),
+                     nanoseconds(m_limits.min_delay)});
 }
 
 bool hedge_policy::is_known_idle(std::optional<hedge_target> const& target,
--- a/Libraries/Coordination/coordination/hedge_policy.hpp
+++ b/Libraries/Coordination/coordination/hedge_policy.hpp
@@ -66,6 +66,9 @@
     /// service times hardly vary would otherwise hedge attempts that are about to end: with 1.2, these used
     /// up the limit of 0.04 in the load of slow_moments_load.hpp and left a p99 of 434 ms instead of 301 ms.
     double min_delay_ratio = 1.5;
+    /// Nor earlier than this. In a pool that responds within 1 ms, hedges after a few ms answer pauses of
+    /// threads and use up the limit before an attempt is slow.
+    std::chrono::milliseconds min_delay{10};
     /// An attempt is stuck after this multiple of the mean service time: then a hedge is worth sending that
     /// misses the objective but not the deadline.
     double stuck_factor = 3.0;
--- a/Tests/Coordination/test_hedge_policy.cpp
+++ b/Tests/Coordination/test_hedge_policy.cpp
@@ -67,6 +67,15 @@
     }
 }
 
+TEST(hedge_policies, a_fast_pool_is_not_hedged_for_a_delay_of_milliseconds) {
+    // Guards against hedges that answer pauses of threads: they use up the limit before an attempt is slow.
+    hedge_pool_times const times{1ms, 1ms, 2ms, 1.0};
+    hedged_request request{9ms, 9ms, 500ms, 1000ms, 1, 2, std::nullopt, 0ms};
+    CHECK(hedge_policy().decide(request, times, room_with(idle)).action == look_again);
+    request.age = request.time_since_sent = 10ms;
+    CHECK(hedge_policy().decide(request, times, room_with(idle)).action == send);
+}
+
 TEST(hedge_policies, slow_moments_are_hedged_within_the_limit) {
     // Guards against hedges that are spent on attempts which end soon anyway: the limit is then used up, and
     // the slowest requests remain. An instance uses 0.04 of the default --hedge_share of 0.05.
