Coordination: Give no part of a rate to homes that replace silent ones

Cause: in a partition each side replaces the homes of the other one. With 3 and 3 of 6 holders and 3 new homes on each side, each side divided the rate by 9 and generated 6 parts, together 4/3 of the rate. Change: a new home becomes a holder when no holder is silent; until then it gets its tokens from the others. Result: homes_that_replace_silent_ones_get_no_part fails before and passes now.

--- a/Libraries/Coordination/coordination/rate_holders.hpp
+++ b/Libraries/Coordination/coordination/rate_holders.hpp
@@ -26,8 +26,9 @@
     silent, ///< Dead, or cut off from this instance.
 };
 
-/// The instances that hold parts of the fleet's rates: its homes, also those that are silent. Not
-/// thread-safe; time is passed in.
+/// The instances that hold parts of the fleet's rates: its homes, also those that are silent. A new home
+/// becomes one when none is silent; until then it gets its tokens from the others. Not thread-safe; time is
+/// passed in.
 class rate_holders {
 public:
     using time_point = std::chrono::steady_clock::time_point;
@@ -37,17 +38,24 @@
     /// `homes` are the instances that are homes of any pool; `status_of` tells what is known of an address.
     template<class StatusOf>
     void refresh(std::set<endpoint> const& homes, StatusOf const& status_of, time_point now) {
-        for (auto const& home : homes) {
-            m_last_seen[home] = now;
-        }
+        bool has_silent_holder = false;
         std::erase_if(m_last_seen, [&](auto const& entry) {
             if (homes.contains(entry.first)) {
                 return false;
             }
             // An instance that is alive and no home any more knows that it is none.
-            return status_of(entry.first) != holder_status::silent ||
-                   now - entry.second > m_policy.silence_limit;
+            bool const is_over = status_of(entry.first) != holder_status::silent ||
+                                 now - entry.second > m_policy.silence_limit;
+            has_silent_holder = has_silent_holder || !is_over;
+            return is_over;
         });
+        // In a partition, each side may replace the homes of the other one. New holders on both sides would
+        // together generate more than the rate.
+        for (auto const& home : homes) {
+            if (!has_silent_holder || m_last_seen.contains(home)) {
+                m_last_seen[home] = now;
+            }
+        }
     }
 
     /// The holders in order of their addresses, which every instance with the same knowledge agrees on.
