Coordination: Keep shared rates within their bound and lose fewer requests below it

A waiting request asks up to 5 holders at once. Holders that are not alive are not asked, others that do not answer back off. Messages hold whole units of 0.001.

--- a/Libraries/Gateway/gateway/fleet_messages.cpp
+++ b/Libraries/Gateway/gateway/fleet_messages.cpp
@@ -60,7 +60,7 @@
 
 template<class Archive>
 void serialize(Archive& archive, token_transfer& value) {
-    archive(value.is_answer, value.request_id, value.amounts);
+    archive(value.is_answer, value.from_holder, value.request_id, value.amounts);
 }
 
 template<class Archive>
--- a/Libraries/Gateway/gateway/fleet_messages.hpp
+++ b/Libraries/Gateway/gateway/fleet_messages.hpp
@@ -74,6 +74,7 @@
 /// A request for tokens of fleet-wide rate limits, or the answer with those that the sender gives.
 struct token_transfer {
     bool is_answer = false;
+    bool from_holder = false;     ///< Of a request: the sender's own capacity accounts for the tokens.
     std::uint64_t request_id = 0; ///< The same in the request and its answer.
     std::vector<token_amount> amounts;
 };
--- a/Libraries/Gateway/gateway/fleet_synchronizer.cpp
+++ b/Libraries/Gateway/gateway/fleet_synchronizer.cpp
@@ -612,14 +612,15 @@
                                            : member.status == member_status::leaving ? holder_status::gone
                                                                                      : holder_status::silent;
     }
+    auto const homes = m_homes.all_peer_addresses();
     m_rate_holders.refresh(
-        m_homes.all_peer_addresses(),
+        homes,
         [&known](endpoint const& address) {
             auto const found = known.find(address);
             return found == known.end() ? holder_status::silent : found->second;
         },
         clock::now());
-    m_state.rates.set_holders(m_rate_holders.holders(), m_membership.self().peer_address);
+    m_state.rates.set_holders(m_rate_holders.holders(), homes, m_membership.self().peer_address);
 }
 
 void fleet_synchronizer::refresh_slot_claims() {
--- a/Libraries/Gateway/gateway/workspace_rates.cpp
+++ b/Libraries/Gateway/gateway/workspace_rates.cpp
@@ -7,13 +7,12 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace pomelospread {
 
 namespace {
 
-constexpr double tokens_per_unit = 0.001; ///< Of `token_amount::units`.
-
 shared_rate::limit_key limit_key_of(std::string_view workspace) {
     return XXH3_64bits(workspace.data(), workspace.size());
 }
@@ -23,13 +22,13 @@
     return XXH3_64bits(text.data(), text.size());
 }
 
-/// Rounded down, so that no message holds more tokens than were deducted.
+/// The amounts of `shared_rate` are whole units.
 std::vector<token_amount> to_units(std::vector<shared_rate::amount> const& amounts) {
     std::vector<token_amount> result;
     for (auto const& each : amounts) {
-        result.push_back(
-            {.limit = each.key,
-             .units = static_cast<std::uint32_t>(std::clamp(each.tokens / tokens_per_unit, 0.0, 4e9))});
+        result.push_back({.limit = each.key,
+                          .units = static_cast<std::uint32_t>(
+                              std::clamp(std::round(each.tokens / shared_rate::token_unit), 0.0, 4e9))});
     }
     return result;
 }
@@ -37,7 +36,7 @@
 std::vector<shared_rate::amount> to_amounts(std::vector<token_amount> const& units) {
     std::vector<shared_rate::amount> result;
     for (auto const& each : units) {
-        result.push_back({.key = each.limit, .tokens = each.units * tokens_per_unit});
+        result.push_back({.key = each.limit, .tokens = each.units * shared_rate::token_unit});
     }
     return result;
 }
@@ -57,16 +56,27 @@
     m_rate.set_limits(limits, clock::now());
 }
 
-void workspace_rates::set_holders(std::vector<endpoint> holders, endpoint const& self) {
-    auto const count = holders.size();
-    bool const is_holder = std::erase(holders, self) > 0;
-    m_rate.set_holders(count, is_holder, clock::now());
-    if (m_other_holders != holders) {
+void workspace_rates::set_holders(std::vector<endpoint> const& holders, std::set<endpoint> const& homes,
+                                  endpoint const& self) {
+    auto const is_other_home = [&](endpoint const& each) { return each != self && homes.contains(each); };
+    auto const is_holder = std::ranges::find(holders, self) != holders.end();
+    m_rate.set_holders(holders.size(), is_holder, clock::now());
+    std::vector<endpoint> asked;
+    std::ranges::copy_if(holders, std::back_inserter(asked), is_other_home);
+    if (asked.size() + (is_holder ? 1 : 0) < holders.size()) {
+        // A home in place of a silent holder may have started without knowing of that holder, and hold
+        // tokens.
+        asked.clear();
+        std::ranges::copy_if(homes, std::back_inserter(asked), is_other_home);
+    }
+    if (m_asked_holders != asked || m_holder_count != holders.size()) {
         log_line(log_level::info, "rate_holders_changed")
-            .field("holders", static_cast<std::uint64_t>(count))
+            .field("holders", static_cast<std::uint64_t>(holders.size()))
             .field("is_holder", is_holder ? "yes" : "no")
             .write();
-        m_other_holders = std::move(holders);
+        m_asked_holders = std::move(asked);
+        m_holder_count = holders.size();
+        m_next_holder = thread_random()();
     }
 }
 
@@ -77,15 +87,22 @@
     auto const key = limit_key_of(workspace.name);
     auto const deadline = clock::now() + max_token_wait;
     m_rate.record_arrival(key, clock::now());
+    bool has_asked = false;
     for (;;) {
         auto const now = clock::now();
         if (m_rate.try_take(key, now)) {
             return std::nullopt;
         }
-        bool const is_awaiting = m_rate.is_awaiting(key, now) || ask_next_holder(now);
-        if (!is_awaiting || now >= deadline) {
+        if (now >= deadline) {
             return m_rate.promise_retry(key, now);
         }
+        if (!m_rate.is_awaiting(key, now)) {
+            auto const count = has_asked ? max_asked_holders : m_rate.holders_to_ask(key, now);
+            has_asked = true;
+            if (!ask_holders(std::min(count, max_asked_holders), now)) {
+                return m_rate.promise_retry(key, now);
+            }
+        }
         std::unique_lock lock(m_mutex);
         m_received.wait_until(lock, deadline);
     }
@@ -97,26 +114,37 @@
     }
 }
 
-bool workspace_rates::ask_next_holder(clock::time_point now) {
-    for (std::size_t i = 0; i < m_other_holders.size(); ++i) {
-        auto const& holder = m_other_holders[m_next_holder++ % m_other_holders.size()];
+bool workspace_rates::ask_holders(std::size_t max_count, clock::time_point now) {
+    std::vector<endpoint const*> chosen;
+    for (std::size_t i = 0; i < m_asked_holders.size() && chosen.size() < max_count; ++i) {
+        auto const& holder = m_asked_holders[m_next_holder++ % m_asked_holders.size()];
+        if (m_rate.needs_tokens_of(holder_key_of(holder), now)) {
+            chosen.push_back(&holder);
+        }
+    }
+    bool has_asked = false;
+    for (std::size_t i = 0; i < chosen.size(); ++i) {
         auto const request_id = thread_random()();
-        auto const asked = m_rate.ask(holder_key_of(holder), request_id, now);
-        if (!asked.empty()) {
-            m_asked_at = now;
-            m_send({.kind = datagram_kind::token_transfer,
-                    .tokens = {.is_answer = false, .request_id = request_id, .amounts = to_units(asked)}},
-                   holder);
-            return true;
+        auto const asked = m_rate.ask(holder_key_of(*chosen[i]), request_id, now, chosen.size() - i);
+        if (asked.empty()) {
+            continue;
         }
+        has_asked = true;
+        m_asked_at = now;
+        m_send({.kind = datagram_kind::token_transfer,
+                .tokens = {.is_answer = false,
+                           .from_holder = m_rate.is_holder(),
+                           .request_id = request_id,
+                           .amounts = to_units(asked)}},
+               *chosen[i]);
     }
-    return false;
+    return has_asked;
 }
 
 void workspace_rates::send_requests() {
     auto const now = clock::now();
     if (!m_rate.empty() && now - m_asked_at >= request_interval && m_rate.needs_tokens(now)) {
-        static_cast<void>(ask_next_holder(now));
+        static_cast<void>(ask_holders(1, now));
         m_asked_at = now;
     }
 }
@@ -129,7 +157,7 @@
         m_received.notify_all();
         return;
     }
-    auto const given = m_rate.give(amounts, now);
+    auto const given = m_rate.give(amounts, transfer.from_holder, now);
     m_send({.kind = datagram_kind::token_transfer,
             .tokens = {.is_answer = true, .request_id = transfer.request_id, .amounts = to_units(given)}},
            sender);
--- a/Libraries/Gateway/gateway/workspace_rates.hpp
+++ b/Libraries/Gateway/gateway/workspace_rates.hpp
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <functional>
 #include <optional>
+#include <set>
 #include <span>
 #include <string_view>
 #include <vector>
@@ -27,8 +28,10 @@
     void set_sender(send_function send) { m_send = std::move(send); }
     /// Takes the limits of the tables that are in force now.
     void set_limits(routing_tables const& tables);
-    /// Sets the instances that hold parts of the rates; `self` may be one of them.
-    void set_holders(std::vector<endpoint> holders, endpoint const& self);
+    /// Sets the instances that hold parts of the rates; `self` may be one of them. Asks those of them that
+    /// are `homes`, which are alive.
+    void set_holders(std::vector<endpoint> const& holders, std::set<endpoint> const& homes,
+                     endpoint const& self);
 
     /// Admits a request of the workspace, or returns when it should be sent again. Suspends the calling fiber
     /// while tokens are on the way, for at most `max_token_wait`.
@@ -50,12 +53,17 @@
     static constexpr auto max_token_wait = std::chrono::milliseconds(15);
     static constexpr auto request_interval = std::chrono::milliseconds(50);
 
-    /// Asks the next holder that may have tokens. Returns false when there is none.
-    bool ask_next_holder(clock::time_point now);
+    /// Holders that are asked at once for a waiting request. It has the time for two round trips, so that one
+    /// after the other would find tokens at too few of them.
+    static constexpr std::size_t max_asked_holders = 5;
+
+    /// Asks the next holders that may have tokens, each for an equal part. Returns false when there is none.
+    bool ask_holders(std::size_t max_count, clock::time_point now);
 
     shared_rate m_rate;
     send_function m_send;
-    std::vector<endpoint> m_other_holders;
+    std::vector<endpoint> m_asked_holders;
+    std::size_t m_holder_count = 0;
     std::size_t m_next_holder = 0;
     clock::time_point m_asked_at{};
     boost::fibers::mutex m_mutex;
--- /dev/null
+++ b/Tests/Gateway/test_workspace_rates.cpp
@@ -0,0 +1,55 @@
+// Instances that exchange tokens of a workspace's rate through encoded datagrams.
+#include "gateway/workspace_rates.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <map>
+#include <set>
+#include <thread>
+
+using namespace pomelospread;
+using namespace std::chrono_literals;
+
+TEST_GROUP(workspace_rate_exchanges) {
+    workspace_row const workspace{.name = "w", .requests_per_second = 300, .burst = 1};
+    std::vector<endpoint> const holders{{"127.0.0.1", 1}, {"127.0.0.1", 2}, {"127.0.0.1", 3}};
+    endpoint const other{"127.0.0.1", 4};
+    std::map<endpoint, workspace_rates> instances;
+
+    void setup() override {
+        std::set<endpoint> const homes(holders.begin(), holders.end());
+        for (std::uint16_t port = 1; port <= 4; ++port) {
+            endpoint const self{"127.0.0.1", port};
+            auto& rates = instances.try_emplace(self, shared_rate_policy{.fleet_slack = 2}).first->second;
+            rates.set_sender([this, self](fleet_datagram const& message, endpoint const& receiver) {
+                instances.at(receiver).receive(decode_datagram(encode_datagram(message)).tokens, self);
+            });
+            rates.set_limits({.workspaces = {{workspace}}});
+            rates.set_holders(holders, homes, self);
+        }
+    }
+};
+
+TEST(workspace_rate_exchanges, an_instance_that_is_no_holder_admits_with_the_tokens_of_several) {
+    // Each holder keeps at most one token. With parts rounded down in messages, the last thousandth of a
+    // token never arrives.
+    std::this_thread::sleep_for(20ms);
+    for (int i = 0; i < 2; ++i) {
+        CHECK_FALSE(instances.at(other).admit(workspace).has_value());
+    }
+    CHECK(instances.at(holders[0]).balance(workspace) < 1);
+}
+
+TEST(workspace_rate_exchanges, holders_that_are_not_alive_are_not_asked) {
+    // They do not answer, so that requests would wait for them in vain.
+    std::this_thread::sleep_for(20ms);
+    auto& rates = instances.at(other);
+    std::size_t sent = 0;
+    rates.set_sender([&](fleet_datagram const&, endpoint const& receiver) {
+        sent += 1;
+        CHECK(receiver == holders[1]);
+    });
+    rates.set_holders(holders, {holders[1]}, other);
+    CHECK(rates.admit(workspace).has_value());
+    CHECK_EQUAL(1, sent);
+}
