Gateway: Tell other zones seldom of targets that they search last

Homes of other zones choose such a target only when their own zone has no good one, and probe it first; they hear now each 120 ms of requests started or ended there, and of failures. That a target leaves is still told to all at once.

--- a/Libraries/Coordination/coordination/target_selector.cpp
+++ b/Libraries/Coordination/coordination/target_selector.cpp
@@ -140,6 +140,11 @@
     return found == m_targets.end() ? nullptr : &found->second.listed.pool;
 }
 
+std::string_view target_selector::zone_of(std::string const& id) const {
+    auto const found = m_targets.find(id);
+    return found == m_targets.end() ? std::string_view() : found->second.listed.zone;
+}
+
 double target_selector::other_in_flight(target_state const& state, time_point now) const {
     auto const inferred = state.reported_at
                               ? state.inferred_other_in_flight *
--- a/Libraries/Coordination/coordination/target_selector.hpp
+++ b/Libraries/Coordination/coordination/target_selector.hpp
@@ -167,6 +167,8 @@
     [[nodiscard]] std::string const* find_by_hash(std::uint32_t hash) const;
     [[nodiscard]] std::uint32_t own_in_flight(std::string const& id) const;
     [[nodiscard]] std::string const* pool_of(std::string const& id) const;
+    /// The zone of a listed target; empty for another one.
+    [[nodiscard]] std::string_view zone_of(std::string const& id) const;
     /// Applies a load report that this instance or another one received at `received`. A report that is older
     /// than the last one applied is ignored.
     void apply_load_report(std::string const& id, load_report const& value, time_point received);
--- a/Libraries/Gateway/gateway/load_exchange.hpp
+++ b/Libraries/Gateway/gateway/load_exchange.hpp
@@ -31,7 +31,13 @@
     load_exchange(forwarding_state& state, home_directory const& homes, send_function send)
         : m_state(state), m_homes(homes), m_send(std::move(send)) {}
 
-    [[nodiscard]] bool has_pending_updates() const noexcept { return !m_state.pending_load_changes.empty(); }
+    /// Between two rounds to the homes of other zones about a target that they search last
+    /// (`target_selector::uses_search`): they need to know how full a zone is, not each change of a target.
+    static constexpr auto far_send_interval = std::chrono::milliseconds(120);
+
+    [[nodiscard]] bool has_pending_updates() const noexcept {
+        return !m_state.pending_load_changes.empty() || !m_far_changes.empty();
+    }
     void send_updates(std::span<member_view const> members, instance_id self);
     void receive(std::span<target_load_update const> updates, endpoint const& sender);
 
@@ -55,12 +61,25 @@
     /// The leaving targets beyond it are not told; each further response of such a target adds it again.
     static constexpr std::size_t max_leaving_bytes_per_datagram = 400;
 
+    using datagrams_by_peer = std::map<endpoint, std::vector<fleet_datagram>>;
+
+    /// Which instances are told of a change: all of a target's pool, or only those in its zone or outside it.
+    enum class receiver_group : std::uint8_t { all, near_target, far_from_target };
+
+    /// Adds the update of a target to the datagrams of those who are told.
+    void add_update(datagrams_by_peer& datagrams, std::string const& id, load_change const& change,
+                    receiver_group group, std::span<member_view const> members, instance_id self,
+                    time_point now) const;
+    /// Keeps a change for the next round to instances that are far from the target.
+    void keep_for_far_round(std::string const& id, load_change const& change);
     static void add_leaving_target(fleet_datagram& message, leaving_target_update target);
 
     forwarding_state& m_state;
     home_directory const& m_homes;
     send_function m_send;
     std::map<std::string, std::map<endpoint, decaying_usage>> m_peer_usage; ///< By pool and instance.
+    std::map<std::string, load_change> m_far_changes;                       ///< By target.
+    time_point m_far_sent_at{};
 };
 
 } // namespace pomelospread
--- a/Libraries/Gateway/gateway/load_prober.cpp
+++ b/Libraries/Gateway/gateway/load_prober.cpp
@@ -92,8 +92,7 @@
     auto const now = std::chrono::steady_clock::now();
     if (report.target_load_report) {
         m_state.selector.apply_load_report(target.id, *report.target_load_report, now);
-        m_state.pending_load_changes.record_exchange_finished(target.id, report.target_load_report, false,
-                                                              now);
+        m_state.pending_load_changes.record_probe_finished(target.id, *report.target_load_report, now);
     } else {
         m_state.selector.record_probe_failure(target.id, now);
         log_line(log_level::info, "check_failed")
--- a/Tests/Gateway/test_load_exchange.cpp
+++ b/Tests/Gateway/test_load_exchange.cpp
@@ -19,7 +19,7 @@
 
 TEST_GROUP(load_exchange_updates) {
     forwarding_wire_format wire_format;
-    forwarding_state state{gateway_settings{}, wire_format, 1};
+    forwarding_state state{gateway_settings{.zone = "z"}, wire_format, 1};
     std::vector<std::pair<std::string, fleet_datagram>> sent;
     home_directory homes{{.min_instances = 2, .min_processor_permille = 0}};
     load_exchange exchange{state, homes, [this](fleet_datagram const& message, endpoint const& to) {
@@ -68,6 +68,43 @@
     LONGS_EQUAL(3 * sent_per_round + 1, sent.size());
 }
 
+TEST(load_exchange_updates, other_zones_hear_seldom_of_targets_that_they_search_last) {
+    // Told of each change and probe like the homes of the target's zone, they made half of the bytes between
+    // zones of a fleet with 363 targets.
+    routing_tables content{.version = 1};
+    content.pools.push_back({.name = "p"});
+    content.routes.push_back({.name = "r", .host = "a.example", .path_prefix = "/", .pool = "p"});
+    for (auto& member : members) {
+        member.entry.zone = member.entry.id == 2 ? "z" : "y";
+    }
+    homes.refresh(route_index(content), members);
+    std::vector<listed_target> targets;
+    for (int i = 0; i < 20; ++i) {
+        targets.push_back({.id = "t" + std::to_string(i), .pool = "p", .zone = "z", .slots = 2});
+    }
+    state.selector.set_targets(targets, std::chrono::steady_clock::now());
+    CHECK(state.selector.uses_search("p"));
+    std::map<std::string, int> told;
+    for (int round = 0; round < 5; ++round) {
+        state.pending_load_changes.record_attempt_started("t1");
+        state.pending_load_changes.record_probe_finished("t2", {}, std::chrono::steady_clock::now());
+        exchange.send_updates(members, 1);
+    }
+    for (auto const& [address, message] : sent) {
+        told[address] += static_cast<int>(message.load_updates.size());
+    }
+    for (auto const& member : members) {
+        if (member.entry.id != 1) {
+            LONGS_EQUAL(member.entry.zone == "z" ? 10 : 1, told[member.entry.peer_address.address]);
+        }
+    }
+    // That a target leaves reaches everybody at once.
+    sent.clear();
+    state.pending_load_changes.record_leaving("t3", 7);
+    exchange.send_updates(members, 1);
+    LONGS_EQUAL(members.size() - 1, sent.size());
+}
+
 TEST(load_exchange_updates, requests_in_flight_of_a_peer_reduce_available_capacity) {
     auto const now = std::chrono::steady_clock::now();
     DOUBLES_EQUAL(4, state.selector.available_capacity("p", now), 0.01);
