--- a/Libraries/Coordination/coordination/target_selector.cpp
+++ b/Libraries/Coordination/coordination/target_selector.cpp
@@ -76,6 +76,13 @@
         m_pools[state.listed.pool].targets.push_back(&state);
         m_id_by_hash.emplace(target_id_hash(id), id);
     }
+    for (auto& [name, pool] : m_pools) {
+        auto const near_targets = std::ranges::count_if(
+            pool.targets, [this](auto const* target) { return target->listed.zone == m_own_zone; });
+        pool.uses_search =
+            static_cast<std::size_t>(near_targets) >= m_policy.search.min_near_targets &&
+            std::ranges::all_of(pool.targets, [this](auto const* target) { return has_few_slots(*target); });
+    }
 }
 
 void target_selector::set_slot_claims(std::string_view pool, endpoint const& self,
@@ -133,6 +140,11 @@
     return found == m_targets.end() ? nullptr : &found->second.listed.pool;
 }
 
+std::string_view target_selector::zone_of(std::string const& id) const {
+    auto const found = m_targets.find(id);
+    return found == m_targets.end() ? std::string_view() : found->second.listed.zone;
+}
+
 double target_selector::other_in_flight(target_state const& state, time_point now) const {
     auto const inferred = state.reported_at
                               ? state.inferred_other_in_flight *
@@ -362,11 +374,9 @@
     std::erase_if(estimates, [&](auto const& each) {
         return each.expected_ms > least * (1.0 + m_policy.tie_tolerance);
     });
-    // Of targets with few slots, those of the own zone are known best, and bytes between zones cost.
-    auto const is_near = [this](auto const& each) {
-        return has_few_slots(*each.target) && each.target->listed.zone == m_own_zone;
-    };
-    if (std::ranges::any_of(estimates, is_near)) {
+    // The search knows those of the own zone best, and bytes between zones cost.
+    auto const is_near = [this](auto const& each) { return each.target->listed.zone == m_own_zone; };
+    if (found->second.uses_search && std::ranges::any_of(estimates, is_near)) {
         std::erase_if(estimates, [&](auto const& each) { return !is_near(each); });
     }
     auto const& estimate = estimates[random() % estimates.size()];
@@ -407,14 +417,9 @@
     return probed;
 }
 
-bool target_selector::uses_search(pool_state const& pool) const {
-    return !pool.targets.empty() &&
-           std::ranges::all_of(pool.targets, [this](auto const* target) { return has_few_slots(*target); });
-}
-
 bool target_selector::uses_search(std::string_view pool) const {
     auto const found = m_pools.find(pool);
-    return found != m_pools.end() && uses_search(found->second);
+    return found != m_pools.end() && found->second.uses_search;
 }
 
 void target_selector::set_home_zones(std::string_view pool,
@@ -429,7 +434,7 @@
     }
     auto const& state = found->second;
     auto const& pool = m_pools.find(state.listed.pool)->second;
-    if (!uses_search(pool)) {
+    if (!pool.uses_search) {
         return probe_rate_share(state.slot_claim_rank, max_homes);
     }
     auto const zone = pool.homes_by_zone.find(state.listed.zone);
@@ -524,6 +529,7 @@
             to_ms(result.latency) / std::max(1.0, result.slowdown.value_or(pool.mean_slowdown));
         update_mean(pool.typical_service_ms, normalized_ms, service_time_weight);
         update_mean(pool.mean_service_ms, to_ms(result.latency), service_time_weight);
+        pool.high_response_time.observe(result.latency);
         break;
     }
     case attempt_outcome::failed:
@@ -534,6 +540,12 @@
         failure = 0.5;
         break;
     case attempt_outcome::cancelled:
+        // An attempt that was cancelled after the estimated quantile lies above it. Without these, the
+        // losers of hedges would lower the estimate and cause further hedges.
+        if (auto const estimate = pool.high_response_time.value();
+            estimate > std::chrono::nanoseconds::zero() && result.latency > estimate) {
+            pool.high_response_time.observe(result.latency);
+        }
         return;
     }
     update_failure_rate(state, failure, now);
@@ -604,6 +616,42 @@
     return first;
 }
 
+std::optional<target_choice> target_selector::best_reported_target(std::string_view pool,
+                                                                   std::span<std::string const> excluded,
+                                                                   std::chrono::milliseconds max_age,
+                                                                   time_point now) const {
+    auto const found = m_pools.find(pool);
+    if (found == m_pools.end()) {
+        return std::nullopt;
+    }
+    auto estimates = estimate_candidates(found->second, excluded, now);
+    std::erase_if(estimates, [&](auto const& each) {
+        return each.report_age_ms < 0 || each.report_age_ms > max_age.count();
+    });
+    if (estimates.empty()) {
+        return std::nullopt;
+    }
+    return make_choice(*std::ranges::min_element(estimates, {}, &candidate_estimate::expected_ms));
+}
+
+std::optional<reported_slowdown> target_selector::last_report(std::string const& id) const {
+    auto const found = m_targets.find(id);
+    if (found == m_targets.end() || !found->second.reported_at) {
+        return std::nullopt;
+    }
+    return reported_slowdown{.slowdown = found->second.slowdown, .reported_at = *found->second.reported_at};
+}
+
+double target_selector::mean_slowdown(std::string_view pool) const {
+    auto const found = m_pools.find(pool);
+    return found == m_pools.end() ? 1.0 : found->second.mean_slowdown;
+}
+
+std::chrono::nanoseconds target_selector::high_response_time(std::string_view pool) const {
+    auto const found = m_pools.find(pool);
+    return found == m_pools.end() ? std::chrono::nanoseconds() : found->second.high_response_time.value();
+}
+
 std::chrono::nanoseconds target_selector::typical_service_time(std::string_view pool) const {
     auto const found = m_pools.find(pool);
     if (found == m_pools.end()) {
--- a/Libraries/Coordination/coordination/target_selector.hpp
+++ b/Libraries/Coordination/coordination/target_selector.hpp
@@ -4,6 +4,7 @@
 
 #include "base/random.hpp"
 #include "coordination/cold_target_limits.hpp"
+#include "coordination/quantile_estimate.hpp"
 #include "coordination/slot_claims.hpp"
 #include "coordination/target_exclusions.hpp"
 #include "coordination/target_list_cache.hpp"
@@ -114,6 +115,12 @@
     bool is_preferred = false;
 };
 
+/// What a target reported last.
+struct reported_slowdown {
+    double slowdown = 1.0;
+    std::chrono::steady_clock::time_point reported_at;
+};
+
 /// One instance's state of every listed target. Not thread-safe; time and randomness are passed in.
 class target_selector {
 public:
@@ -160,6 +167,8 @@
     [[nodiscard]] std::string const* find_by_hash(std::uint32_t hash) const;
     [[nodiscard]] std::uint32_t own_in_flight(std::string const& id) const;
     [[nodiscard]] std::string const* pool_of(std::string const& id) const;
+    /// The zone of a listed target; empty for another one.
+    [[nodiscard]] std::string_view zone_of(std::string const& id) const;
     /// Applies a load report that this instance or another one received at `received`. A report that is older
     /// than the last one applied is ignored.
     void apply_load_report(std::string const& id, load_report const& value, time_point received);
@@ -187,7 +196,7 @@
                      std::chrono::milliseconds fresh, time_point now, random_source& random) const;
 
     /// Whether targets are searched for (`next_search_round`) instead of probed once (`probe_candidates`):
-    /// the pool's targets have few slots.
+    /// the pool's targets have few slots, and the own zone has enough of them.
     [[nodiscard]] bool uses_search(std::string_view pool) const;
     [[nodiscard]] target_search begin_search(std::string_view pool, time_point now) const;
     using target_predicate = std::function<bool(std::string const& id)>;
@@ -201,6 +210,18 @@
     /// Whether a fresh report shows that the target is idle and undisturbed, so that the search can end.
     [[nodiscard]] bool is_known_good(target_search const& search, std::string const& id,
                                      time_point now) const;
+    /// The usable target with the least expected time among those that reported within `max_age`.
+    [[nodiscard]] std::optional<target_choice> best_reported_target(std::string_view pool,
+                                                                    std::span<std::string const> excluded,
+                                                                    std::chrono::milliseconds max_age,
+                                                                    time_point now) const;
+    /// Nothing while the target has sent no load report.
+    [[nodiscard]] std::optional<reported_slowdown> last_report(std::string const& id) const;
+    /// Mean of the slowdowns that the pool's targets report.
+    [[nodiscard]] double mean_slowdown(std::string_view pool) const;
+    /// The 95th percentile of the pool's response times, counted from the sending of each attempt; zero until
+    /// a request was measured.
+    [[nodiscard]] std::chrono::nanoseconds high_response_time(std::string_view pool) const;
 
     /// Typical service time of the pool without slowdown; zero until a request was measured.
     [[nodiscard]] std::chrono::nanoseconds typical_service_time(std::string_view pool) const;
@@ -263,14 +284,15 @@
         double mean_service_ms = 0;               ///< As measured.
         double mean_slowdown = 1.5;
         double good_share = 0.5; ///< Of the load reports, those of idle and undisturbed targets.
+        quantile_estimate high_response_time{0.95};
         double warm_up_requests_per_second = 0; ///< 0: unlimited.
         std::chrono::milliseconds warm_up_time{0};
         std::size_t home_count = 1;
+        bool uses_search = false;
         std::map<std::string, std::size_t, std::less<>> homes_by_zone;
     };
 
     [[nodiscard]] static bool is_usable(target_state const& state);
-    [[nodiscard]] bool uses_search(pool_state const& pool) const;
     [[nodiscard]] bool is_usable_at(target_state const& state, pool_state const& pool, time_point now) const;
     [[nodiscard]] static bool is_cold(target_state const& state, time_point now);
     [[nodiscard]] std::vector<candidate_estimate>
--- a/Libraries/Gateway/gateway/fleet_synchronizer.cpp
+++ b/Libraries/Gateway/gateway/fleet_synchronizer.cpp
@@ -599,8 +599,10 @@
                                {.max_direct_fleet_size = m_state.settings.max_direct_fleet_size});
     m_homes.refresh(*m_state.routes.load(), members);
     m_state.max_homes_per_host = m_homes.max_homes_per_host();
-    m_state.extra_attempts.set_home_count(
-        m_homes.is_home(m_membership.self().peer_address) ? m_homes.max_homes_per_host() : 0);
+    auto const home_count =
+        m_homes.is_home(m_membership.self().peer_address) ? m_homes.max_homes_per_host() : 0;
+    m_state.extra_attempts.set_home_count(home_count);
+    m_state.hedges.set_home_count(home_count);
     refresh_rate_holders(members);
     refresh_slot_claims();
 }
@@ -612,14 +614,15 @@
                                            : member.status == member_status::leaving ? holder_status::gone
                                                                                      : holder_status::silent;
     }
+    auto const homes = m_homes.all_peer_addresses();
     m_rate_holders.refresh(
-        m_homes.all_peer_addresses(),
+        homes,
         [&known](endpoint const& address) {
             auto const found = known.find(address);
             return found == known.end() ? holder_status::silent : found->second;
         },
         clock::now());
-    m_state.rates.set_holders(m_rate_holders.holders(), m_membership.self().peer_address);
+    m_state.rates.set_holders(m_rate_holders.holders(), homes, m_membership.self().peer_address);
 }
 
 void fleet_synchronizer::refresh_slot_claims() {
