--- a/Tests/Processes/platform_stand_in.py
+++ b/Tests/Processes/platform_stand_in.py
@@ -63,6 +63,7 @@
     def __init__(self):
         self.lock = threading.Condition()
         self.rows = {}
+        self.removed_rows = {}  # The last removal of each row, for feeds.
         self.version = 0
         self.down = False
         self.field_overrides = {}  # Fields with values of a wrong type, added to every response and row.
@@ -90,19 +91,26 @@
     def put_encoded(self, table, key, value):
         with self.lock:
             self.version += 1
+            self.removed_rows.pop((table, key), None)
             self.rows[table, key] = {"table": table, "part": "", "key": key, "value": value, "ver": self.version}
             self.lock.notify_all()
 
     def remove(self, table, key):
         with self.lock:
             self.version += 1
-            self.rows.pop((table, key), None)
+            if self.rows.pop((table, key), None):
+                self.removed_rows[table, key] = {"table": table, "part": "", "key": key, "removed": True,
+                                                 "ver": self.version}
             self.lock.notify_all()
 
     def rows_of_table(self, table, after=0):
         return [row | self.field_overrides for (name, _), row in sorted(self.rows.items())
                 if name == table and row["ver"] > after]
 
+    def changes_of_table(self, table, after):
+        removed = [row for (name, _), row in self.removed_rows.items() if name == table and row["ver"] > after]
+        return sorted(self.rows_of_table(table, after) + removed, key=lambda row: row["ver"])
+
     def handle_request(self, method, target, body):
         path, _, query = target.partition("?")
         parameters = dict(urllib.parse.parse_qsl(query))
@@ -127,11 +135,11 @@
                 era, generation = self.era, self.polls_generation
                 # A feed that is neither cut nor answered after a restore stays open until its time-out.
                 self.lock.wait_for(lambda: self.down and not self.holds_polls or self.polls_generation != generation or (
-                    self.era == era and self.rows_of_table(parameters["table"], after)),
+                    self.era == era and self.changes_of_table(parameters["table"], after)),
                                    int(parameters["wait_ms"]) / 1000)
                 if self.polls_generation != generation:
                     return None, {}
-                rows = self.rows_of_table(parameters["table"], after)
+                rows = self.changes_of_table(parameters["table"], after)
                 return (503, {}) if self.down else (200, {"rows": rows, "ver": self.version, "now_s": 1.0})
             if path.endswith("rows-get"):
                 self.tables_reads += parameters["table"] == "op"
@@ -242,6 +250,7 @@
         self.name = name
         self.faults_enabled = faults_enabled
         self.executed_ids = []
+        self.headers_by_id = {}  # Of the requests that arrived.
         self.arrivals = []
         self.health_check_times = []
         self.refusal_times = []
@@ -274,6 +283,7 @@
                              f"Not-Executed: 1\r\nRetry-After: {self.retry_after}\r\n")
                 continue
             self.arrivals.append((request_id, time.monotonic()))
+            self.headers_by_id[request_id] = headers
             if headers["expect-instance"] != self.name:
                 connection.sendall(b"HTTP/1.1 421 M\r\nInstance-Id: x\r\nContent-Length: 0\r\n\r\n")
                 continue
@@ -346,8 +356,8 @@
             "priority": 1, "max_attempts": 2, "service": service}
 
 
-def make_target_entry(target, service, state="ready", born=1700000000000):
-    return {"service": service, "addr": target.address, "zone": "z", "version": "v1", "slots": 6, "state": state,
+def make_target_entry(target, service, state="ready", born=1700000000000, zone="z"):
+    return {"service": service, "addr": target.address, "zone": zone, "version": "v1", "slots": 6, "state": state,
             "warmup_left_s": 0, "seq": 1, "born": born}
 
 
@@ -373,11 +383,11 @@
             with connection.makefile("rb") as stream:
                 return read_http_message(stream)
 
-    def send_request(self, path, request_id, method="GET", body=b"", deadline_ms=1500):
-        head = (f"{method} {path} HTTP/1.1\r\nHost: a.example\r\nRequest-Id: {request_id}\r\n"
+    def send_request(self, path, request_id, method="GET", body=b"", deadline_ms=1500, headers=""):
+        head = (f"{method} {path} HTTP/1.1\r\nHost: a.example\r\nRequest-Id: {request_id}\r\n{headers}"
                 f"Deadline-Ms: {deadline_ms}\r\nContent-Length: {len(body)}\r\n\r\n").encode()
-        start_line, headers, response_body = self.exchange("callers", head + body)
-        return int(start_line[1]), headers, response_body
+        start_line, response_headers, response_body = self.exchange("callers", head + body)
+        return int(start_line[1]), response_headers, response_body
 
     def is_ready(self):
         try:
