--- a/Libraries/Gateway/gateway/request_attempts.cpp
+++ b/Libraries/Gateway/gateway/request_attempts.cpp
@@ -121,6 +121,7 @@
     auto const probe = [&](std::vector<target_choice> const& choices, steady_time until,
                            load_prober::target_predicate const& is_enough) {
         std::vector<load_prober::probe_target> targets;
+        targets.reserve(choices.size());
         for (auto const& each : choices) {
             targets.push_back({.id = each.id, .incarnation = each.incarnation, .address = each.address});
         }
--- a/Tests/Gateway/test_target_client.cpp
+++ b/Tests/Gateway/test_target_client.cpp
@@ -4,7 +4,12 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <array>
+#include <cerrno>
 #include <map>
 #include <memory>
 #include <string>
@@ -13,6 +18,47 @@
 using namespace pomelospread;
 using namespace std::chrono_literals;
 
+namespace {
+
+/// A target that accepts connections and reads nothing until it is told to.
+class unread_target {
+public:
+    unread_target() : m_listener(::socket(AF_INET, SOCK_STREAM, 0)) {
+        int const small_buffer = 4096;
+        ::setsockopt(m_listener, SOL_SOCKET, SO_RCVBUF, &small_buffer, sizeof(small_buffer));
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        CHECK(::bind(m_listener, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
+        CHECK(::listen(m_listener, 8) == 0);
+    }
+    ~unread_target() { ::close(m_listener); }
+
+    [[nodiscard]] endpoint address() const {
+        sockaddr_in local{};
+        socklen_t length = sizeof(local);
+        ::getsockname(m_listener, reinterpret_cast<sockaddr*>(&local), &length);
+        return {"127.0.0.1", ntohs(local.sin_port)};
+    }
+    /// Reads from the next connection until it ends; returns whether it was reset.
+    [[nodiscard]] bool is_next_connection_reset() const {
+        int const connection = ::accept(m_listener, nullptr, nullptr);
+        std::array<char, 65536> buffer{};
+        ssize_t count = 0;
+        do {
+            count = ::recv(connection, buffer.data(), buffer.size(), 0);
+        } while (count > 0);
+        bool const is_reset = count < 0 && errno == ECONNRESET;
+        ::close(connection);
+        return is_reset;
+    }
+
+private:
+    int m_listener;
+};
+
+} // namespace
+
 TEST_GROUP(target_client_exchange) {
     io_thread thread{"test"};
     forwarding_wire_format wire_format;
@@ -71,6 +117,22 @@
     }
 };
 
+TEST(target_client_exchange, bytes_of_an_abandoned_attempt_do_not_arrive_later) {
+    // Guards against a request that the system still delivers after its caller was answered: a path that was
+    // lost for seconds brought one to a target that had said in the meantime that it leaves.
+    unread_target const stalled;
+    thread.run_and_wait([&] {
+        auto request = std::make_shared<http_request>(boost::beast::http::verb::post, "/", 11);
+        request->body() = std::string(std::size_t{16} * 1024 * 1024, 'x'); // More than both sides buffer.
+        request->prepare_payload();
+        target_client::exchange_handle handle;
+        auto const report = client->exchange("i-2", stalled.address(), request,
+                                             std::chrono::steady_clock::now() + 100ms, handle);
+        CHECK(report.outcome == exchange_outcome::incomplete);
+    });
+    CHECK(stalled.is_next_connection_reset());
+}
+
 TEST(target_client_exchange, attempt_cancelled_before_its_start_sends_nothing) {
     open_idle_connection();
     target_client::exchange_handle cancelled;
