--- a/Libraries/Gateway/gateway/target_client.cpp
+++ b/Libraries/Gateway/gateway/target_client.cpp
@@ -123,8 +123,9 @@
                     .failure_reason = handle.m_cancelled ? "cancelled" : "no connection: " + error.message()};
         }
         configure_socket(target_connection->stream.socket());
-        // Closing resets the connection, so that the system drops what it has not delivered. Otherwise a request
-        // whose path was lost reaches the target when the path is back, seconds after its caller was answered.
+        // Closing resets the connection, so that the system drops what it has not delivered. Otherwise a
+        // request whose path was lost reaches the target when the path is back, seconds after its caller was
+        // answered.
         target_connection->stream.socket().set_option(asio::socket_base::linger(true, 0), error);
     }
     handle.m_connection = target_connection;
--- a/Tests/Processes/platform_stand_in.py
+++ b/Tests/Processes/platform_stand_in.py
@@ -330,11 +330,14 @@
             if behaviour.startswith("slow"):
                 connection.settimeout(float(behaviour[4:] or 1))
                 try:
-                    if not connection.recv(1, socket.MSG_PEEK):
-                        self.cancelled_ids.append(request_id)
-                        return
+                    is_cancelled = not connection.recv(1, socket.MSG_PEEK)
                 except TimeoutError:
-                    pass
+                    is_cancelled = False
+                except ConnectionResetError:
+                    is_cancelled = True
+                if is_cancelled:
+                    self.cancelled_ids.append(request_id)
+                    return
                 connection.settimeout(None)
             if behaviour == "unframed":
                 connection.sendall(f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\nServer-Signature: s\r\n\r\n"
