--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -18,6 +18,8 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 PORT_NAMES = ("front", "ready", "control", "directory", "peers", "metrics")
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+# Of the platform's store.
+PART_WRITES_PER_S, TRANSACTION_S, ANSWER_S = 150, 0.008, 0.004
 
 
 class Record:
@@ -136,6 +138,8 @@
         self.objects = {}
         self.writes = 0
         self.lose_write = lambda number: None  # Returns after how many seconds a write is done whose answer is lost.
+        self.slowdown = 1  # How many times as long answers take.
+        self.part_free_at = 0.0  # Transactions of a part are done one after another.
         self.began = time.monotonic()
 
     async def start(self, host):
@@ -180,7 +184,11 @@
 
     async def answer(self, method, path, query, body):
         if path == "/pomelospread/rows-tx":
-            await asyncio.sleep(0.008)
+            now = time.monotonic()
+            if self.part_free_at - now > 1:
+                return 429, {}
+            self.part_free_at = max(now, self.part_free_at) + self.slowdown / PART_WRITES_PER_S
+            await asyncio.sleep(self.part_free_at - now + TRANSACTION_S * self.slowdown)
             return await self.transact(json.loads(body))
         if path == "/pomelospread/rows-get":
             rows = sorted((row for name, row in self.rows.items()
@@ -221,7 +229,7 @@
                     self.record.say(f"store: write {self.writes} is done; members now {self.keys('members')}")
                     await stream.wait_for_end()
                     return
-            await asyncio.sleep(0.004)
+            await asyncio.sleep(ANSWER_S * self.slowdown)
             status, document = await self.answer(method, path, query, body)
             document |= {"ver": self.version, "now_s": time.monotonic() - self.began}
             stream.send(f"HTTP/1.1 {status} X", [("Content-Type", "application/json")], json.dumps(document).encode())
