Coordination: Divide rates through the platform's store, with leases for the parts

After the holders of a workspace's rate were lost for good, every request of the workspace got 429, 0 of 200 served from 16 s after the other machines were back, and nothing would have ended it before an hour. Cause: each instance took the homes that it knew for the holders, and counted a silent one for 60 minutes, since it might be cut off. Silence cannot tell a lost holder from one that is cut off, and an instance that starts takes the rows of lost machines for alive. The instances that were left were no holders, and asked ones that never answered. Change: who holds a part is a row of the platform's store, replaced under the condition of its version. A holder has its part on a lease of 8 s, so one that is cut off stops by itself before its part is given to others; a change takes parts first and gives them when it is settled. `rate_holders` and its test are gone: it said that a silent holder keeps its part for 59 minutes, which is the fault. `rate_divisions` replaces it with the same situations (silent, left, back, replaced in a partition) and an oracle of the sum of all parts over random faults. Given up: in an outage of the whole store beyond the lease, workspaces with a rate get 429 (docs/design/rate-division.md).

--- a/Libraries/Coordination/coordination/platform_store.hpp
+++ b/Libraries/Coordination/coordination/platform_store.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "coordination/platform.hpp"
+#include "coordination/rate_division.hpp"
 #include "coordination/store_version.hpp"
 #include "coordination/target_list_cache.hpp"
 #include "coordination/zone_evacuations.hpp"
@@ -25,6 +26,18 @@
     bool is_complete = false; ///< The result of `read_tables`.
 };
 
+/// Where the platform's store has the division of the fleet's rates. Throws what `platform_store` throws.
+class rate_division_store {
+public:
+    virtual ~rate_division_store() = default;
+
+    /// Version number 0 when there is none. One that cannot be decoded is logged and has no holders.
+    [[nodiscard]] virtual rate_division read_division() = 0;
+    /// Writes `next` if the division has still the version `expected`; the version of `next` is not used.
+    /// Returns whether it did.
+    [[nodiscard]] virtual bool replace_division(rate_division const& next, store_version expected) = 0;
+};
+
 /// Calls suspend the calling fiber. Each throws `platform_unavailable` or `platform_outcome_unknown`, or
 /// `malformed_message` when stored data cannot be decoded.
 class platform_store {
@@ -49,6 +62,7 @@
     [[nodiscard]] virtual target_list_snapshot read_targets() = 0;
     [[nodiscard]] virtual instance_registry& instances() = 0;
     [[nodiscard]] virtual object_store& objects() = 0;
+    [[nodiscard]] virtual rate_division_store& rate_divisions() = 0;
 };
 
 /// The platform's store has dropped the requested part of its history.
--- a/Libraries/Gateway/gateway/fleet_synchronizer.cpp
+++ b/Libraries/Gateway/gateway/fleet_synchronizer.cpp
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace pomelospread {
@@ -63,6 +64,8 @@
 /// How long a change that another zone announced may take to be announced by a relay of the own zone.
 constexpr auto relay_wait = milliseconds(300);
 constexpr std::size_t max_addresses = 64;
+/// Peers that an instance asks for the division of the rates while it knows none.
+constexpr std::size_t max_asked_for_division = 2;
 /// An account segment that another instance submits.
 constexpr std::size_t max_object_bytes = std::size_t{8} * 1024 * 1024;
 
@@ -95,9 +98,16 @@
       m_recent_objects(store.objects()), m_object_collector(thread, m_recent_objects, m_membership.self().id),
       m_objects(m_recent_objects, m_object_collector, m_peer_connections, m_plan),
       m_homes(state.settings.homes),
-      m_load_exchange(state, m_homes, [this](fleet_datagram const& message, endpoint const& to) {
-          m_socket.send(message, to);
-      }) {
+      m_load_exchange(
+          state, m_homes,
+          [this](fleet_datagram const& message, endpoint const& to) { m_socket.send(message, to); }),
+      m_rate_divider(thread, state.rates, store.rate_divisions(), m_peer_connections,
+                     state.settings.peer_address,
+                     {.fleet = [this] { return known_fleet(); },
+                      .record_store_call =
+                          [this](bool is_available, std::string_view reason) {
+                              record_store_availability(is_available, "rates", reason);
+                          }}) {
     m_state.rates.set_sender(
         [this](fleet_datagram const& message, endpoint const& to) { m_socket.send(message, to); });
     m_store.set_era_observer([this](std::uint64_t era) { learn_store_era(era, "store"); });
@@ -389,6 +399,7 @@
         m_state.selector.set_warm_up(pool.name, pool.warm_up_requests_per_second, pool.warm_up_time);
     }
     m_state.rates.set_limits(content);
+    m_rate_divider.start_if_needed();
     m_state.routes.store(std::make_shared<route_index const>(std::move(content)));
     if (m_plan.is_relay()) {
         m_socket.send_to_all(
@@ -603,26 +614,26 @@
         m_homes.is_home(m_membership.self().peer_address) ? m_homes.max_homes_per_host() : 0;
     m_state.extra_attempts.set_home_count(home_count);
     m_state.hedges.set_home_count(home_count);
-    refresh_rate_holders(members);
     refresh_slot_claims();
 }
 
-void fleet_synchronizer::refresh_rate_holders(std::span<member_view const> members) {
-    std::map<endpoint, holder_status> known;
-    for (auto const& member : members) {
-        known[member.entry.peer_address] = member.status == member_status::alive     ? holder_status::alive
-                                           : member.status == member_status::leaving ? holder_status::gone
-                                                                                     : holder_status::silent;
+rate_division_fleet fleet_synchronizer::known_fleet() const {
+    rate_division_fleet fleet{.homes = m_homes.all_peer_addresses(),
+                              .leaving = {},
+                              .peers = {},
+                              .has_read_members = m_has_read_members};
+    for (auto const& member : m_membership.view()) {
+        if (member.status == member_status::leaving) {
+            fleet.leaving.insert(member.entry.peer_address);
+        }
     }
-    auto const homes = m_homes.all_peer_addresses();
-    m_rate_holders.refresh(
-        homes,
-        [&known](endpoint const& address) {
-            auto const found = known.find(address);
-            return found == known.end() ? holder_status::silent : found->second;
-        },
-        clock::now());
-    m_state.rates.set_holders(m_rate_holders.holders(), homes, m_membership.self().peer_address);
+    std::vector<endpoint> peers(fleet.homes.begin(), fleet.homes.end());
+    for (auto const& seed : m_state.settings.seed_addresses) {
+        peers.push_back({seed, m_state.settings.peer_address.port});
+    }
+    std::erase(peers, m_state.settings.peer_address);
+    std::ranges::sample(peers, std::back_inserter(fleet.peers), max_asked_for_division, thread_random());
+    return fleet;
 }
 
 void fleet_synchronizer::refresh_slot_claims() {
@@ -658,7 +669,7 @@
             m_registered_at = clock::now();
             auto const entries = m_store.instances().list_instances();
             m_membership.merge_platform_list(entries, clock::now());
-            registered = true;
+            registered = m_has_read_members = true;
             refresh_plan();
             log_line(log_level::info, "members_read")
                 .field("members", static_cast<std::uint64_t>(entries.size()))
@@ -857,6 +868,9 @@
     if (path == snapshot_exchange::path) {
         return m_snapshots.handle(request);
     }
+    if (path == rate_divider::path) {
+        return m_rate_divider.handle(request);
+    }
     if (path == fleet_object_store::path) {
         return m_objects.handle(request);
     }
@@ -889,6 +903,7 @@
 }
 
 void fleet_synchronizer::announce_leaving() {
+    m_rate_divider.resign();
     m_membership.set_leaving();
     m_socket.send_to_all(make_announcement(), m_plan.receivers());
     m_thread.spawn([this] {
@@ -902,6 +917,7 @@
 
 void fleet_synchronizer::stop() {
     m_stopping = true;
+    m_rate_divider.stop();
     log_fleet_bytes();
     m_socket.close();
     m_peer_server.stop_listening();
@@ -940,6 +956,10 @@
                           {"targets_age_ms", age_ms(m_target_list.read_at(), clock::now())},
                           {"store_answers", m_is_store_available},
                           {"store_era", m_store_era},
+                          {"rate_division",
+                           {{"version", m_rate_divider.division().version.number},
+                            {"holders", m_rate_divider.division().holders.size()},
+                            {"settled", m_rate_divider.division().is_settled()}}},
                           {"members", members}}
                .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) +
            "\n";
--- a/Libraries/Gateway/gateway/fleet_synchronizer.hpp
+++ b/Libraries/Gateway/gateway/fleet_synchronizer.hpp
@@ -6,7 +6,6 @@
 #include "coordination/list_poll_schedule.hpp"
 #include "coordination/membership.hpp"
 #include "coordination/platform_store.hpp"
-#include "coordination/rate_holders.hpp"
 #include "coordination/target_list_cache.hpp"
 #include "coordination/transit_delay_estimator.hpp"
 #include "gateway/fleet_datagram_socket.hpp"
@@ -15,6 +14,7 @@
 #include "gateway/forwarding_state.hpp"
 #include "gateway/load_exchange.hpp"
 #include "gateway/object_collector.hpp"
+#include "gateway/rate_divider.hpp"
 #include "gateway/recent_object_store.hpp"
 #include "gateway/snapshot_exchange.hpp"
 #include "gateway/target_client.hpp"
@@ -89,8 +89,8 @@
     void wait_until_joined();
     /// Recomputes what follows from the members: the paths of changes, the homes, the budgets.
     void refresh_plan();
-    /// Recomputes among whom the rates of workspaces are divided.
-    void refresh_rate_holders(std::span<member_view const> members);
+    /// What the division of the rates of workspaces depends on.
+    [[nodiscard]] rate_division_fleet known_fleet() const;
     /// Recomputes the order in which homes use the targets' last slots where homes or targets changed.
     void refresh_slot_claims();
     /// Whom to ask while this instance is not ready: in turn a relay of its zone and anybody.
@@ -136,7 +136,6 @@
     membership m_membership;
     target_list_cache m_target_list;
     zone_evacuations m_evacuations;
-    rate_holders m_rate_holders;
     list_poll_schedule m_list_poll_schedule;
     distribution_plan m_plan;
     transit_delay_estimator m_transit_delays;
@@ -149,6 +148,7 @@
     fleet_object_store m_objects;
     home_directory m_homes;
     load_exchange m_load_exchange;
+    rate_divider m_rate_divider;
     std::uint64_t m_store_era = 0; ///< The newest one known.
     tables_identity m_tables;      ///< Those in force.
     /// Where the tables are to be read on; nothing before the first read and when that history is lost.
@@ -167,6 +167,7 @@
     boost::fibers::condition_variable m_store_era_learned;
     clock::time_point m_registered_at{};
     clock::time_point m_joined_at{}; ///< The first attempt to join the fleet has ended.
+    bool m_has_read_members = false;
     bool m_is_fetching_snapshot = false;
     bool m_is_fetch_scheduled = false;
     bool m_is_relay_wait_scheduled = false;
--- a/Libraries/Gateway/gateway/workspace_rates.cpp
+++ b/Libraries/Gateway/gateway/workspace_rates.cpp
@@ -7,7 +7,7 @@
 
 #include <algorithm>
 #include <cmath>
-#include <iterator>
+#include <utility>
 
 namespace pomelospread {
 
@@ -58,30 +58,29 @@
     m_rate.set_limits(limits, clock::now());
 }
 
-void workspace_rates::set_holders(std::vector<endpoint> const& holders, std::set<endpoint> const& homes,
-                                  endpoint const& self) {
-    auto const is_other_home = [&](endpoint const& each) { return each != self && homes.contains(each); };
-    auto const is_holder = std::ranges::find(holders, self) != holders.end();
-    m_rate.set_holders(holders.size(), is_holder, clock::now());
-    std::vector<endpoint> asked;
-    std::ranges::copy_if(holders, std::back_inserter(asked), is_other_home);
-    if (asked.size() + (is_holder ? 1 : 0) < holders.size()) {
-        // A home in place of a silent holder may have started without knowing of that holder, and hold
-        // tokens.
-        asked.clear();
-        std::ranges::copy_if(homes, std::back_inserter(asked), is_other_home);
-    }
-    if (m_asked_holders != asked || m_holder_count != holders.size()) {
+void workspace_rates::set_part(rate_part part, boot_clock::time_point valid_until,
+                               std::vector<endpoint> holders_to_ask) {
+    m_part_valid_until = valid_until;
+    part.is_held = part.is_held && boot_clock::now() < valid_until;
+    m_rate.set_holders(part.divisor, part.is_held, clock::now());
+    if (m_asked_holders != holders_to_ask || m_part != part) {
         log_line(log_level::info, "rate_holders_changed")
-            .field("holders", static_cast<std::uint64_t>(holders.size()))
-            .field("is_holder", is_holder ? "yes" : "no")
+            .field("holders", static_cast<std::uint64_t>(part.divisor))
+            .field("is_holder", part.is_held ? "yes" : "no")
+            .field("answering", static_cast<std::uint64_t>(holders_to_ask.size()))
             .write();
-        m_asked_holders = std::move(asked);
-        m_holder_count = holders.size();
+        m_asked_holders = std::move(holders_to_ask);
+        m_part = part;
         m_next_holder = thread_random()();
     }
 }
 
+void workspace_rates::expire_part() {
+    if (m_part.is_held && boot_clock::now() >= m_part_valid_until) {
+        set_part(m_part, m_part_valid_until, m_asked_holders);
+    }
+}
+
 std::optional<std::chrono::nanoseconds> workspace_rates::admit(workspace_row const& workspace) {
     if (workspace.requests_per_second <= 0) {
         return std::nullopt;
@@ -91,6 +90,7 @@
     m_rate.record_arrival(key, clock::now());
     bool has_asked = false;
     for (;;) {
+        expire_part();
         auto const now = clock::now();
         if (m_rate.try_take(key, now)) {
             return std::nullopt;
@@ -102,7 +102,10 @@
             auto const count = has_asked ? max_asked_holders : m_rate.holders_to_ask(key, now);
             has_asked = true;
             if (!ask_holders(key, std::min(count, max_asked_holders), now)) {
-                return m_rate.promise_retry(key, now);
+                auto const retry_after = m_rate.promise_retry(key, now);
+                bool const has_holder = m_rate.is_holder() || !m_asked_holders.empty();
+                return has_holder ? retry_after
+                                  : std::max<std::chrono::nanoseconds>(retry_after, no_holder_retry_delay);
             }
         }
         std::unique_lock lock(m_mutex);
@@ -112,6 +115,7 @@
 
 void workspace_rates::give_back(workspace_row const& workspace) {
     if (workspace.requests_per_second > 0) {
+        expire_part();
         m_rate.give_back(limit_key_of(workspace.name), clock::now());
     }
 }
@@ -146,6 +150,7 @@
 }
 
 void workspace_rates::send_requests() {
+    expire_part();
     auto const now = clock::now();
     if (!m_rate.empty() && now - m_asked_at >= request_interval && m_rate.needs_tokens(now)) {
         static_cast<void>(ask_holders(std::nullopt, 1, now));
@@ -161,6 +166,7 @@
         m_received.notify_all();
         return;
     }
+    expire_part();
     auto const given = m_rate.give(amounts, transfer.from_holder, now);
     m_send({.kind = datagram_kind::token_transfer,
             .tokens = {.is_answer = true, .request_id = transfer.request_id, .amounts = to_units(given)}},
--- a/Tests/Processes/platform_stand_in.py
+++ b/Tests/Processes/platform_stand_in.py
@@ -111,6 +111,18 @@
         removed = [row for (name, _), row in self.removed_rows.items() if name == table and row["ver"] > after]
         return sorted(self.rows_of_table(table, after) + removed, key=lambda row: row["ver"])
 
+    def transact(self, call):
+        """Does everything that the call asks for if its preconditions hold; call with the lock held."""
+        names = [(row["table"], row["key"]) for row in call["precondition"]]
+        if any(self.rows.get(name, {"ver": 0})["ver"] != row["ver"] for name, row in zip(names, call["precondition"])):
+            return 412, {"rows": [self.rows[name] for name in names if name in self.rows], "ver": self.version,
+                         "now_s": 1.0}
+        for row in call["puts"]:
+            self.put_encoded(row["table"], row["key"], row["value"])
+        for row in call["remove"]:
+            self.remove(row["table"], row["key"])
+        return 200, {"ver": self.version, "now_s": 1.0}
+
     def handle_request(self, method, target, body):
         path, _, query = target.partition("?")
         parameters = dict(urllib.parse.parse_qsl(query))
@@ -121,11 +133,7 @@
             if "/blob-put/" in path:
                 self.object_names.append(path.rsplit("/", 1)[1])
             if path.endswith("rows-tx"):
-                for row in json.loads(body)["puts"]:
-                    self.put_encoded(row["table"], row["key"], row["value"])
-                for row in json.loads(body)["remove"]:
-                    self.remove(row["table"], row["key"])
-                return 200, {"ver": self.version, "now_s": 1.0}
+                return self.transact(json.loads(body))
             if path.endswith("rows-feed"):
                 self.feed_calls += 1
                 self.feed_checks += parameters["wait_ms"] == "0"
