Gateway: Take no share of the fleet's budgets before the fleet is known

Twelve processes that started again beside a slow store gave a workspace more than twice its rate for three seconds: 948 to 1044 runs in 5 s of 592 allowed. Cause: an instance serves with the tables of a peer after 0.3 s, while its registration, and with it the list of members, waits for the store. It divided what belongs to the fleet by the few members that it knew.

--- a/Libraries/Coordination/coordination/target_selector.cpp
+++ b/Libraries/Coordination/coordination/target_selector.cpp
@@ -270,8 +270,9 @@
         return false;
     }
     return pool.warm_up_requests_per_second <= 0 || !is_cold(state, now) ||
-           state.cold_budget.is_available(pool.warm_up_requests_per_second, state.slot_claim_rank,
-                                          pool.home_count, m_policy.cold_targets, now);
+           (m_knows_homes &&
+            state.cold_budget.is_available(pool.warm_up_requests_per_second, state.slot_claim_rank,
+                                           pool.home_count, m_policy.cold_targets, now));
 }
 
 target_selector::candidate_estimate
@@ -428,6 +429,9 @@
 }
 
 double target_selector::probe_share(std::string const& id, std::size_t max_homes) const {
+    if (!m_knows_homes) {
+        return 0;
+    }
     auto const found = m_targets.find(id);
     if (found == m_targets.end()) {
         return probe_rate_share(0, max_homes);
--- a/Libraries/Coordination/coordination/target_selector.hpp
+++ b/Libraries/Coordination/coordination/target_selector.hpp
@@ -136,6 +136,9 @@
     /// Called again when targets or homes changed; before the first call, this instance comes first.
     void set_slot_claims(std::string_view pool, endpoint const& self, std::set<endpoint> const& homes);
 
+    /// Whether the homes are known among which cold targets' rates and load probes are divided. Until then,
+    /// this instance has no share of them.
+    void set_knows_homes(bool knows_homes) noexcept { m_knows_homes = knows_homes; }
     /// Sets how many requests per second a cold target of the pool tolerates, 0 for any number, and how long
     /// a target is cold that became so without a report.
     void set_warm_up(std::string_view pool, double requests_per_second, std::chrono::milliseconds time);
@@ -331,6 +334,7 @@
     target_selector_policy m_policy;
     std::map<std::string, target_state, std::less<>> m_targets;
     target_exclusions m_exclusions;
+    bool m_knows_homes = true;
     std::map<std::string, pool_state, std::less<>> m_pools;
     std::unordered_map<std::uint32_t, std::string> m_id_by_hash;
     std::set<std::string, std::less<>> m_evacuated_zones;
--- a/Libraries/Gateway/gateway/fleet_synchronizer.cpp
+++ b/Libraries/Gateway/gateway/fleet_synchronizer.cpp
@@ -64,6 +64,8 @@
 /// How long a change that another zone announced may take to be announced by a relay of the own zone.
 constexpr auto relay_wait = milliseconds(300);
 constexpr std::size_t max_addresses = 64;
+/// An instance that the store does not answer takes the peers that it knows then for the fleet.
+constexpr auto fleet_discovery_time = std::chrono::seconds(15);
 /// Peers that an instance asks for the division of the rates while it knows none.
 constexpr std::size_t max_asked_for_division = 2;
 /// An account segment that another instance submits.
@@ -121,6 +123,8 @@
         m_socket.receive(
             [this](auto const& message, auto const& sender) { handle_datagram(message, sender); });
     });
+    m_started_at = clock::now();
+    refresh_plan();
     m_thread.spawn([this] { watch_tables(); });
     m_thread.spawn([this] { poll_targets(); });
     m_thread.spawn([this] { join_fleet(); });
@@ -609,14 +613,15 @@
     m_plan = distribution_plan(m_membership.self(), members,
                                {.max_direct_fleet_size = m_state.settings.max_direct_fleet_size});
     m_homes.refresh(*m_state.routes.load(), members);
-    m_state.max_homes_per_host = m_homes.max_homes_per_host();
-    auto const home_count =
-        m_homes.is_home(m_membership.self().peer_address) ? m_homes.max_homes_per_host() : 0;
-    m_state.extra_attempts.set_home_count(home_count);
-    m_state.hedges.set_home_count(home_count);
+    m_state.set_fleet_share(knows_fleet(), m_homes.is_home(m_membership.self().peer_address),
+                            m_homes.max_homes_per_host());
     refresh_slot_claims();
 }
 
+bool fleet_synchronizer::knows_fleet() const {
+    return m_has_read_members || clock::now() - m_started_at >= fleet_discovery_time;
+}
+
 rate_division_fleet fleet_synchronizer::known_fleet() const {
     rate_division_fleet fleet{.homes = m_homes.all_peer_addresses(),
                               .leaving = {},
--- a/Libraries/Gateway/gateway/fleet_synchronizer.hpp
+++ b/Libraries/Gateway/gateway/fleet_synchronizer.hpp
@@ -89,6 +89,9 @@
     void wait_until_joined();
     /// Recomputes what follows from the members: the paths of changes, the homes, the budgets.
     void refresh_plan();
+    /// Whether the members are likely to be the whole fleet, so that this instance knows its share of what
+    /// the fleet divides.
+    [[nodiscard]] bool knows_fleet() const;
     /// What the division of the rates of workspaces depends on.
     [[nodiscard]] rate_division_fleet known_fleet() const;
     /// Recomputes the order in which homes use the targets' last slots where homes or targets changed.
@@ -165,6 +168,7 @@
     clock::time_point m_store_era_learned_at{};
     boost::fibers::mutex m_store_era_mutex;
     boost::fibers::condition_variable m_store_era_learned;
+    clock::time_point m_started_at{};
     clock::time_point m_registered_at{};
     clock::time_point m_joined_at{}; ///< The first attempt to join the fleet has ended.
     bool m_has_read_members = false;
--- a/Libraries/Gateway/gateway/forwarding_state.cpp
+++ b/Libraries/Gateway/gateway/forwarding_state.cpp
@@ -29,6 +29,14 @@
       rates({.fleet_slack = settings.workspace_rate_slack}),
       account(self, settings.journal_capacity, counters) {}
 
+void forwarding_state::set_fleet_share(bool knows_fleet, bool is_home, std::size_t max_homes) {
+    max_homes_per_host = max_homes;
+    selector.set_knows_homes(knows_fleet);
+    auto const home_count = knows_fleet && is_home ? max_homes : 0;
+    extra_attempts.set_home_count(home_count);
+    hedges.set_home_count(home_count);
+}
+
 double forwarding_state::probes_per_second(std::string const& target) const {
     return settings.fleet_probes_per_target_per_second * selector.probe_share(target, max_homes_per_host);
 }
--- a/Libraries/Gateway/gateway/forwarding_state.hpp
+++ b/Libraries/Gateway/gateway/forwarding_state.hpp
@@ -46,6 +46,8 @@
     /// Set by a planned stop: no response can be sent later.
     std::chrono::steady_clock::time_point serving_ends_at = std::chrono::steady_clock::time_point::max();
     rcu_snapshot<route_index> routes; ///< Version 0 until tables were read.
+    /// Sets this instance's share of what the fleet divides among the homes; none before the fleet is known.
+    void set_fleet_share(bool knows_fleet, bool is_home, std::size_t max_homes);
     /// This instance's share of the load probe rate of a target.
     [[nodiscard]] double probes_per_second(std::string const& target) const;
 
--- a/Tests/Coordination/test_zone_evacuations.cpp
+++ b/Tests/Coordination/test_zone_evacuations.cpp
@@ -142,6 +142,17 @@
     }
 }
 
+// Guards against starting instances that each take the whole rate of a cold target (FAILBACK).
+TEST(cold_and_evacuated_targets, an_instance_that_does_not_know_the_homes_has_no_share_of_a_cold_target) {
+    selector.set_warm_up("p", 3.7, 3s);
+    selector.set_targets(std::array{target("a", "z", 3000)}, now);
+    selector.set_knows_homes(false);
+    LONGS_EQUAL(0, sent_within_a_second(0, 1));
+    DOUBLES_EQUAL(0, selector.probe_share("a", 1), 0);
+    selector.set_knows_homes(true);
+    CHECK(sent_within_a_second(0, 1) > 0);
+}
+
 TEST(cold_and_evacuated_targets, targets_count_as_cold_after_their_zone_was_evacuated) {
     // The list does not say yet that they became cold in the meantime.
     selector.set_warm_up("p", 3.7, 3s);
--- a/Tests/Processes/platform_stand_in.py
+++ b/Tests/Processes/platform_stand_in.py
@@ -72,6 +72,8 @@
         self.connections = set()
         self.silent_connections = set()  # Nothing more is answered on these.
         self.response_delay_s = 0  # Added to the time of every response.
+        self.transaction_s = 0  # Of each transaction; they are done one after another.
+        self.transactions_end = 0.0
         self.oldest_feed_version = 0  # Feeds that start before this version are answered with 410.
         self.feed_calls = 0
         self.feed_checks = 0  # Feeds that do not wait.
@@ -163,7 +165,8 @@
             if self.unanswered_path is not None and self.unanswered_path in target:
                 stream.read()
                 return
-            status, document = self.handle_request(method, target, body)
+            status, document = (429, {}) if not self.wait_for_transactions(target) else self.handle_request(
+                method, target, body)
             if connection in self.silent_connections:
                 stream.read()
                 return
@@ -174,6 +177,18 @@
             era = f"Store-Era: {self.era}\r\n" if self.era is not None else ""
             connection.sendall(f"HTTP/1.1 {status} X\r\n{era}Content-Length: {len(text)}\r\n\r\n".encode() + text)
 
+    def wait_for_transactions(self, target):
+        """Returns False if more than a second of transactions is waiting."""
+        if "rows-tx" not in target:
+            return True
+        with self.lock:
+            begin = max(time.monotonic(), self.transactions_end)
+            if begin - time.monotonic() > 1:
+                return False
+            self.transactions_end = begin + self.transaction_s
+        time.sleep(max(0, begin + self.transaction_s - time.monotonic()))
+        return True
+
     def silence_open_connections(self):
         """Answers nothing more on the open connections; new ones work."""
         self.silent_connections |= self.connections
--- a/Tests/Processes/test_shared_rates.py
+++ b/Tests/Processes/test_shared_rates.py
@@ -98,6 +98,31 @@
         statuses = self.send((3, 4), 20, 5)
         self.assertGreaterEqual(statuses.count(200), 0.9 * len(statuses), {each: statuses.count(each) for each in set(statuses)})
 
+    # Guards against instances that divide a rate among the few members that they know while a slow store keeps them
+    # from the list (QUOTA).
+    def test_rate_holds_while_the_fleet_starts_beside_a_slow_store(self):
+        rate, burst = 100, 20
+        self.put_tables(rate, burst)
+        zones = {number: f"z{number % 3}" for number in range(1, 7)}
+        for number, zone in zones.items():
+            self.start(number, zone)
+        self.wait_until_ready()
+        time.sleep(4)
+        for target in self.targets:
+            target.arrivals.clear()
+        self.store.response_delay_s, self.store.transaction_s = 0.24, 0.5
+        self.kill(*zones)
+        time.sleep(0.5)
+        for number, zone in zones.items():
+            self.start(number, zone)
+        self.wait_until_ready()
+        threading.Timer(4, setattr, (self.store, "transaction_s", 0)).start()
+        statuses = self.send(tuple(zones), 3 * rate, 8)
+        arrivals = sorted(at for target in self.targets for _, at in target.arrivals)
+        most = max(sum(1 for at in arrivals if start <= at <= start + WINDOW_S) for start in arrivals)
+        self.assertLessEqual(most, (rate * WINDOW_S + burst) * (1 + OVER) + SLACK)
+        self.assertGreaterEqual(statuses.count(200), rate * 4)
+
 
 if __name__ == "__main__":
     unittest.main(verbosity=2)
