Tests: Give a key that is held again the bound of a change to reach every instance

Cause: test_withdrawn_key_ends_on_open_connections_of_every_instance asked the second instance at the moment at which the first one had applied the tables, and expected 200 at once. Change: it waits for 200 with the bound of the other steps, which still fails an instance that never takes the key back.

--- a/Tests/Processes/test_workspaces.py
+++ b/Tests/Processes/test_workspaces.py
@@ -100,7 +100,8 @@
             def status_on_open_connection():
                 connection.sendall(request)
                 return read_http_message(stream)[0][1]
-            self.assertEqual(status_on_open_connection(), "200")
+            # The tables that hold the key again may reach the second instance later than the first.
+            self.wait_until(lambda: status_on_open_connection() == "200", CHANGE_BOUND_S)
             self.put_tables({"first": KEYS[:1], "second": KEYS[2:]})
             self.wait_until(lambda: status_on_open_connection() == "401", CHANGE_BOUND_S)
             self.assertEqual(self.status(instance, KEYS[0]), 200)
