Gateway: Find members again that the list or a cut has hidden

After a deregistration that the store performed 5.5 s late, two instances each named only themselves and gave a workspace its whole rate, 554 requests in 5 s of 317 allowed, and would never have found each other again. Cause: a removal whose answer was lost was taken for over. It named only the address, and took the row of the next process there. The list of members was read once, and the own row written once; nobody compared either again. Change: each write and removal of a member's row names the version that it replaces. One instance reads the list again each 4 s on average, whatever the size of the fleet. A lost or foreign own row is written again, an instance that is listed but not heard gets a heartbeat, whoever hears one that it did not know tells the others, and rows of instances that were not heard for a minute are removed. Tests coordination, gateway, platform, fuzz, process_relays, process_restored_store pass.

--- a/Libraries/Coordination/coordination/membership.cpp
+++ b/Libraries/Coordination/coordination/membership.cpp
@@ -83,6 +83,12 @@
     }
 }
 
+bool membership::is_heard(instance_id id) const {
+    auto const found = m_members.find(id);
+    return found != m_members.end() && found->second.has_heartbeat &&
+           status_of(found->second) != member_status::dead;
+}
+
 bool membership::tick(time_point now) {
     ++m_heartbeat;
     bool const paused = m_has_ticked && now - m_now > m_limits.pause_threshold;
--- a/Libraries/Coordination/coordination/membership.hpp
+++ b/Libraries/Coordination/coordination/membership.hpp
@@ -84,6 +84,11 @@
     /// broken.
     void mark_suspect(instance_id id);
 
+    /// Whether the instance is a member that is not dead, possibly one that only the platform's list names.
+    [[nodiscard]] bool is_member(instance_id id) const { return m_members.contains(id); }
+    /// Whether it is one whose heartbeats arrive.
+    [[nodiscard]] bool is_heard(instance_id id) const;
+
     void set_leaving() noexcept { m_self.leaving = true; }
 
     [[nodiscard]] instance_entry const& self() const noexcept { return m_self; }
--- a/Libraries/Coordination/coordination/platform.hpp
+++ b/Libraries/Coordination/coordination/platform.hpp
@@ -1,6 +1,6 @@
 // The interfaces to the platform. Instances of the entry library use all three, and an adapter that serves
-// them implements only these; forwarding instances use `object_store`, `instance_registry` and, instead of
-// `table_service`, `platform_store` (platform_store.hpp).
+// them implements only these; forwarding instances use `object_store` and, instead of the others,
+// `platform_store` (platform_store.hpp).
 #pragma once
 
 #include "base/endpoint.hpp"
--- a/Libraries/Coordination/coordination/platform_store.hpp
+++ b/Libraries/Coordination/coordination/platform_store.hpp
@@ -2,6 +2,7 @@
 // themselves.
 #pragma once
 
+#include "coordination/member_registry.hpp"
 #include "coordination/platform.hpp"
 #include "coordination/rate_division.hpp"
 #include "coordination/store_version.hpp"
@@ -60,7 +61,7 @@
     virtual void cancel_wait_for_newer_tables() = 0;
     /// Omits malformed entries and logs each of them.
     [[nodiscard]] virtual target_list_snapshot read_targets() = 0;
-    [[nodiscard]] virtual instance_registry& instances() = 0;
+    [[nodiscard]] virtual member_registry& members() = 0;
     [[nodiscard]] virtual object_store& objects() = 0;
     [[nodiscard]] virtual rate_division_store& rate_divisions() = 0;
 };
--- a/Libraries/Gateway/gateway/fleet_synchronizer.cpp
+++ b/Libraries/Gateway/gateway/fleet_synchronizer.cpp
@@ -51,6 +51,10 @@
 /// In a fleet that starts as a whole, the registrations are spread over this time, since the platform takes
 /// them one after the other.
 constexpr auto first_start_spread = milliseconds(2000);
+/// When the registration has not ended by then, the members are read in the meantime.
+constexpr auto early_read_delay = milliseconds(700);
+/// How often it is looked whether the members are to be read again.
+constexpr auto audit_check_interval = milliseconds(500);
 /// When the platform has not answered by then, a starting instance asks the seeds.
 constexpr auto seed_fetch_delay = milliseconds(300);
 constexpr auto join_check_interval = milliseconds(20);
@@ -89,7 +93,7 @@
 fleet_synchronizer::fleet_synchronizer(io_thread& thread, forwarding_state& state, target_client& targets,
                                        platform_store& store, instance_entry self)
     : m_thread(thread), m_state(state), m_target_client(targets), m_store(store),
-      m_membership(std::move(self), membership_limits{}),
+      m_membership(std::move(self), membership_limits{}), m_registration(store.members(), m_membership),
       m_socket(thread.io(), state.settings.peer_address, state.counters,
                [this](endpoint const& receiver) { return m_plan.is_in_own_zone(receiver); }),
       m_peer_server(thread, state.settings.peer_address, http_limits{.max_body_bytes = max_object_bytes},
@@ -129,6 +133,7 @@
     m_thread.spawn([this] { poll_targets(); });
     m_thread.spawn([this] { join_fleet(); });
     m_thread.spawn([this] { run_gossip_loop(); });
+    m_thread.spawn([this] { run_member_audit_loop(); });
     m_thread.spawn([this] { run_load_update_loop(); });
 }
 
@@ -182,10 +187,9 @@
 void fleet_synchronizer::register_again() {
     auto const era = m_store_era;
     while (!m_stopping && !m_membership.self().leaving && era == m_store_era &&
-           clock::now() - m_registered_at < recent_object_limits{}.window) {
+           clock::now() - m_registration.written_at() < recent_object_limits{}.window) {
         try {
-            m_store.instances().register_instance(m_membership.self());
-            m_registered_at = clock::now();
+            m_registration.write_row();
             log_line(log_level::info, "registered_again").field("era", era).write();
             return;
         } catch (std::exception const& failure) {
@@ -619,14 +623,14 @@
 }
 
 bool fleet_synchronizer::knows_fleet() const {
-    return m_has_read_members || clock::now() - m_started_at >= fleet_discovery_time;
+    return m_registration.has_read_members() || clock::now() - m_started_at >= fleet_discovery_time;
 }
 
 rate_division_fleet fleet_synchronizer::known_fleet() const {
     rate_division_fleet fleet{.homes = m_homes.all_peer_addresses(),
                               .leaving = {},
                               .peers = {},
-                              .has_read_members = m_has_read_members};
+                              .has_read_members = m_registration.has_read_members()};
     for (auto const& member : m_membership.view()) {
         if (member.status == member_status::leaving) {
             fleet.leaving.insert(member.entry.peer_address);
@@ -667,18 +671,14 @@
         boost::this_fiber::sleep_for(random_up_to(first_start_spread));
     }
     m_thread.spawn([this] { fetch_first_snapshot(); });
+    m_thread.spawn([this] { read_members_early(); });
     bool registered = false;
     while (!m_stopping && !registered) {
         try {
-            m_store.instances().register_instance(m_membership.self());
-            m_registered_at = clock::now();
-            auto const entries = m_store.instances().list_instances();
-            m_membership.merge_platform_list(entries, clock::now());
-            registered = m_has_read_members = true;
+            m_registration.write_row();
+            static_cast<void>(m_registration.read_members());
+            registered = true;
             refresh_plan();
-            log_line(log_level::info, "members_read")
-                .field("members", static_cast<std::uint64_t>(entries.size()))
-                .write();
             // Gossip keeps the entry alive afterwards.
             m_socket.send_to_all(make_announcement(), m_plan.receivers());
             m_joined_at = clock::now();
@@ -692,6 +692,74 @@
     }
 }
 
+void fleet_synchronizer::read_members_early() {
+    boost::this_fiber::sleep_for(early_read_delay);
+    while (!m_stopping && !m_registration.has_read_members()) {
+        try {
+            static_cast<void>(m_registration.read_members());
+            refresh_plan();
+        } catch (std::exception const& failure) {
+            record_store_availability(false, "members", failure.what());
+            boost::this_fiber::sleep_for(jittered(registration_retry_delay));
+        }
+    }
+}
+
+void fleet_synchronizer::run_member_audit_loop() {
+    while (!m_stopping) {
+        boost::this_fiber::sleep_for(audit_check_interval);
+        bool const is_registered = m_registration.written_at() != clock::time_point{};
+        if (!is_registered || m_membership.self().leaving ||
+            !m_registration.audit().is_read_due(m_membership, clock::now(), thread_random())) {
+            continue;
+        }
+        try {
+            audit_members();
+        } catch (std::exception const& failure) {
+            record_store_availability(false, "members", failure.what());
+        }
+    }
+}
+
+void fleet_synchronizer::audit_members() {
+    auto const findings = m_registration.read_members();
+    refresh_plan();
+    for (auto const& entry : findings.unheard) {
+        send_heartbeat(entry.peer_address);
+    }
+    if (findings.is_unregistered && !m_membership.self().leaving) {
+        m_registration.write_row();
+        log_line(log_level::warning, "registration_restored")
+            .field("replaced", findings.own_row_version)
+            .write();
+    }
+    for (auto const& member : findings.gone) {
+        m_registration.remove_row_of(member);
+    }
+}
+
+void fleet_synchronizer::send_heartbeat(endpoint const& receiver) {
+    m_socket.send({.kind = datagram_kind::heartbeat,
+                   .has_members = true,
+                   .members = m_membership.make_gossip_message(tables_version(), thread_random())},
+                  receiver);
+}
+
+void fleet_synchronizer::introduce_sender(fleet_datagram const& message, endpoint const& sender) {
+    auto const& entry = message.members.sender;
+    bool const was_known = m_membership.is_member(entry.id);
+    if (message.kind != datagram_kind::heartbeat || entry.leaving || entry.peer_address != sender ||
+        !m_registration.audit().should_introduce(entry.id, m_membership, clock::now())) {
+        return;
+    }
+    m_socket.send_to_all(
+        {.kind = datagram_kind::announcement, .has_members = true, .members = message.members},
+        m_plan.receivers());
+    if (!was_known) {
+        send_heartbeat(sender);
+    }
+}
+
 void fleet_synchronizer::fetch_first_snapshot() {
     boost::this_fiber::sleep_for(jittered(seed_fetch_delay));
     if (m_joined_at == clock::time_point{}) {
@@ -764,6 +832,7 @@
     auto const sent_at = now - m_transit_delays.extra_delay(sender_ip, sender_clock, now);
     bool const forwards = m_plan.forwards_from(sender);
     if (message.has_members) {
+        introduce_sender(message, sender);
         m_membership.apply_gossip(message.members, now);
         if (forwards && message.kind == datagram_kind::announcement) {
             m_socket.send_to_all(
@@ -913,7 +982,7 @@
     m_socket.send_to_all(make_announcement(), m_plan.receivers());
     m_thread.spawn([this] {
         try {
-            m_store.instances().deregister_instance(m_membership.self().id);
+            m_registration.remove_row();
         } catch (std::exception const& failure) {
             log_line(log_level::warning, "withdraw_failed").field("reason", failure.what()).write();
         }
--- a/Libraries/Gateway/gateway/fleet_synchronizer.hpp
+++ b/Libraries/Gateway/gateway/fleet_synchronizer.hpp
@@ -11,6 +11,7 @@
 #include "gateway/fleet_datagram_socket.hpp"
 #include "gateway/fleet_messages.hpp"
 #include "gateway/fleet_object_store.hpp"
+#include "gateway/fleet_registration.hpp"
 #include "gateway/forwarding_state.hpp"
 #include "gateway/load_exchange.hpp"
 #include "gateway/object_collector.hpp"
@@ -83,6 +84,15 @@
     void sleep_until_newer_era(std::chrono::milliseconds duration);
     void poll_targets();
     void join_fleet();
+    /// Reads the members while the registration waits for a slow store.
+    void read_members_early();
+    /// Compares the platform's list with the members again and again.
+    void run_member_audit_loop();
+    void audit_members();
+    /// A heartbeat to one instance, which may not know this one.
+    void send_heartbeat(endpoint const& receiver);
+    /// Tells the others of an instance that this one hears and they may not know.
+    void introduce_sender(fleet_datagram const& message, endpoint const& sender);
     void fetch_first_snapshot();
     void run_gossip_loop();
     void run_load_update_loop();
@@ -137,6 +147,7 @@
     target_client& m_target_client;
     platform_store& m_store;
     membership m_membership;
+    fleet_registration m_registration;
     target_list_cache m_target_list;
     zone_evacuations m_evacuations;
     list_poll_schedule m_list_poll_schedule;
@@ -169,9 +180,7 @@
     boost::fibers::mutex m_store_era_mutex;
     boost::fibers::condition_variable m_store_era_learned;
     clock::time_point m_started_at{};
-    clock::time_point m_registered_at{};
     clock::time_point m_joined_at{}; ///< The first attempt to join the fleet has ended.
-    bool m_has_read_members = false;
     bool m_is_fetching_snapshot = false;
     bool m_is_fetch_scheduled = false;
     bool m_is_relay_wait_scheduled = false;
--- a/Tests/Platform/test_odd_entries.cpp
+++ b/Tests/Platform/test_odd_entries.cpp
@@ -231,7 +231,7 @@
     for (auto const& [field, value, reason] : odd_member_values) {
         auto const document = entry_with(member_fields, field, value);
         auto const valid = entry_with(member_fields, "unknown", "1");
-        std::optional<platform::row_page<instance_entry>> page;
+        std::optional<platform::row_page<listed_member>> page;
         run_in_fiber(
             [&] { page = platform::decode_members_response(response_around(row("odd", document), valid)); });
         check_page(*page, 2, reason, entry_with({}, field, value));
--- a/Tests/Processes/platform_stand_in.py
+++ b/Tests/Processes/platform_stand_in.py
@@ -68,6 +68,7 @@
         self.down = False
         self.field_overrides = {}  # Fields with values of a wrong type, added to every response and row.
         self.dropped_response_path = ""  # Requests whose target contains this are executed, but the response is lost.
+        self.late_removals_s = 0  # While it is set, removals are not answered and performed so long after their arrival.
         self.unanswered_path = None  # Requests whose target contains this are neither executed nor answered.
         self.connections = set()
         self.silent_connections = set()  # Nothing more is answered on these.
@@ -165,6 +166,10 @@
             if self.unanswered_path is not None and self.unanswered_path in target:
                 stream.read()
                 return
+            if self.late_removals_s and "rows-tx" in target and json.loads(body)["remove"]:
+                threading.Timer(self.late_removals_s, self.handle_request, (method, target, body)).start()
+                stream.read()
+                return
             status, document = (429, {}) if not self.wait_for_transactions(target) else self.handle_request(
                 method, target, body)
             if connection in self.silent_connections:
--- a/Tests/Processes/test_shared_rates.py
+++ b/Tests/Processes/test_shared_rates.py
@@ -1,5 +1,6 @@
 #!/usr/bin/env python3
 """The rate of a workspace over a fleet whose instances are lost, start again and are replaced."""
+import json
 import pathlib
 import sys
 import tempfile
@@ -18,6 +19,7 @@
 LISTENERS = ("callers", "readiness", "addresses", "peers", "metrics")
 KEY = "key-of-w"
 RECOVERY_S = 15  # A fleet serves again so long after its machines are back.
+FIND_S = 25  # Within which instances that do not know each other find each other: four mean intervals and a margin.
 WINDOW_S, OVER, SLACK = 5, 0.1, 20  # What the fleet may run beyond a rate in a window.
 
 
@@ -81,6 +83,11 @@
             thread.join()
         return statuses
 
+    def most_in_a_window(self):
+        """The most requests that arrived at targets within a window."""
+        arrivals = sorted(at for target in self.targets for _, at in target.arrivals)
+        return max(sum(1 for at in arrivals if start <= at <= start + WINDOW_S) for start in arrivals)
+
     # Guards against a workspace that gets 429 for an hour after the holders of its rate were lost for good (RECOVER).
     def test_rate_comes_back_after_its_holders_are_lost_for_good(self):
         self.put_tables(rate=50, burst=20)
@@ -118,11 +125,60 @@
         self.wait_until_ready()
         threading.Timer(4, setattr, (self.store, "transaction_s", 0)).start()
         statuses = self.send(tuple(zones), 3 * rate, 8)
-        arrivals = sorted(at for target in self.targets for _, at in target.arrivals)
-        most = max(sum(1 for at in arrivals if start <= at <= start + WINDOW_S) for start in arrivals)
-        self.assertLessEqual(most, (rate * WINDOW_S + burst) * (1 + OVER) + SLACK)
+        self.assertLessEqual(self.most_in_a_window(), (rate * WINDOW_S + burst) * (1 + OVER) + SLACK)
         self.assertGreaterEqual(statuses.count(200), rate * 4)
 
+    def addresses(self, number):
+        """The instances that the directory of an instance names."""
+        _, _, body = self.instances[number].exchange(
+            "addresses", b"GET /pomelospread/resolve?name=a.example&region=r&zone=z HTTP/1.1\r\nHost: x\r\n\r\n")
+        return {address.split(":")[0] for address in json.loads(body)["addresses"]}
+
+    def wait_until_all_know_all(self, timeout):
+        hosts = {instance.host for instance in self.instances.values()}
+        deadline = time.monotonic() + timeout
+        while any(self.addresses(number) != hosts for number in self.instances):
+            self.assertLess(time.monotonic(), deadline, {number: self.addresses(number) for number in self.instances})
+            time.sleep(0.2)
+
+    # Guards against a late deregistration that removes the row of the next process at the address, and splits the
+    # fleet (QUOTA).
+    def test_fleet_stays_whole_after_a_deregistration_that_is_performed_late(self):
+        rate, burst = 50, 20
+        self.put_tables(rate, burst)
+        for number in (1, 2):
+            self.start(number)
+        self.wait_until_ready()
+        time.sleep(2)
+        self.store.late_removals_s = 3
+        self.instances.pop(1).stop()
+        self.store.late_removals_s = 0
+        self.start(1)
+        self.wait_until_ready()
+        time.sleep(3)
+        self.instances.pop(2).stop()
+        self.start(3)
+        self.wait_until_ready()
+        self.wait_until_all_know_all(FIND_S)
+        for target in self.targets:
+            target.arrivals.clear()
+        statuses = self.send((1, 3), 3 * rate, 8)
+        self.assertLessEqual(self.most_in_a_window(), (rate * WINDOW_S + burst) * (1 + OVER) + SLACK)
+        self.assertGreaterEqual(statuses.count(200), rate * 6)
+
+    # Guards against instances that never find each other again after a row was lost.
+    def test_instances_whose_rows_were_lost_find_each_other(self):
+        self.put_tables(rate=50, burst=20)
+        self.start(1)
+        self.wait_until_ready()
+        time.sleep(1)
+        with self.store.lock:
+            for name in [name for name in self.store.rows if name[0] == "members"]:
+                del self.store.rows[name]
+        self.start(2)
+        self.wait_until_ready()
+        self.wait_until_all_know_all(FIND_S)
+
 
 if __name__ == "__main__":
     unittest.main(verbosity=2)
