--- a/Libraries/Coordination/coordination/rate_division_keeper.hpp
+++ b/Libraries/Coordination/coordination/rate_division_keeper.hpp
@@ -6,7 +6,6 @@
 #include <functional>
 #include <map>
 #include <set>
-#include <span>
 #include <vector>
 
 namespace pomelospread {
--- a/Tests/Coordination/test_rate_division.cpp
+++ b/Tests/Coordination/test_rate_division.cpp
@@ -168,6 +168,32 @@
     check_whole(fleet);
 }
 
+// Guards against a part that an instance takes from a peer's older knowledge after the process before it
+// acknowledged a change (QUOTA).
+TEST(rate_divisions, what_a_peer_knew_before_the_start_of_an_instance_gives_it_no_part) {
+    auto const self = rate_division_model::address_of(0);
+    auto const peer = rate_division_model::address_of(1);
+    rate_division const known{.version = {.era = 0, .number = 5}, .holders = {self}, .previous_holders = {}};
+    rate_division_fleet const fleet{
+        .homes = {self}, .leaving = {}, .peers = {peer}, .has_read_members = true};
+    for (auto const& [age, is_held] : {std::pair(3000ms, false), std::pair(50ms, true)}) {
+        auto now = rate_division_keeper::time_point(1000s);
+        rate_division_keeper keeper(
+            self, {.exchange =
+                       [&](auto const&, auto const&) {
+                           return std::map<endpoint, rate_division_state>{{peer, {known, age}}};
+                       },
+                   .read = []() -> rate_division { throw platform_unavailable("the store is away"); },
+                   .write = [](auto const&, auto) { return false; },
+                   .part_changed = [] {},
+                   .now = [&] { return now; }});
+        now += 100ms;
+        keeper.run_round(fleet);
+        CHECK(keeper.is_known());
+        CHECK(keeper.part().is_held == is_held);
+    }
+}
+
 TEST(rate_divisions, a_calm_fleet_makes_few_calls_to_the_store) {
     rate_division_model fleet(6);
     fleet.run(10s);
