Gateway: Register before the list of members is read, as before

Cause: reads the list first. Without it nothing was written. Why it did not ask its peer first, as it does when it registers first, is not traced: the logs show no such call.

--- a/Libraries/Gateway/gateway/fleet_registration.cpp
+++ b/Libraries/Gateway/gateway/fleet_registration.cpp
@@ -17,6 +17,8 @@
 using std::chrono::milliseconds;
 
 constexpr auto retry_delay = milliseconds(1500);
+/// When the registration has not ended by then, the members are read in the meantime.
+constexpr auto early_read_delay = milliseconds(700);
 /// How often it is looked whether the members are to be read again.
 constexpr auto audit_check_interval = milliseconds(500);
 /// The row of a process that ended may be written or removed late, but not more often than this.
@@ -29,10 +31,12 @@
 
 } // namespace
 
-void fleet_registration::join(bool is_first_start) {
+void fleet_registration::join() {
+    m_thread.spawn([this] { read_members_early(); });
     for (bool is_joined = false; !is_joined && !m_is_stopping;) {
         try {
-            register_and_read(is_first_start);
+            write_row();
+            read_members();
             is_joined = true;
         } catch (std::exception const& failure) {
             m_callbacks.record_failure(failure.what());
@@ -42,16 +46,15 @@
     m_thread.spawn([this] { run_audit_loop(); });
 }
 
-void fleet_registration::register_and_read(bool is_first_start) {
-    // A slow store takes long for a registration, and without the list no other instance may be known.
-    if (!is_first_start && !m_has_read_members) {
-        read_members();
-    }
-    // Where another process was before, the others that start now had rows before, too.
-    bool const is_new_address = m_row_version == 0;
-    write_row();
-    if (is_new_address) {
-        read_members();
+void fleet_registration::read_members_early() {
+    boost::this_fiber::sleep_for(early_read_delay);
+    while (!m_is_stopping && !m_has_read_members) {
+        try {
+            read_members();
+        } catch (std::exception const& failure) {
+            m_callbacks.record_failure(failure.what());
+            sleep_before_retry();
+        }
     }
 }
 
--- a/Libraries/Gateway/gateway/fleet_registration.hpp
+++ b/Libraries/Gateway/gateway/fleet_registration.hpp
@@ -27,10 +27,9 @@
     fleet_registration(io_thread& thread, member_registry& registry, membership& members, callbacks functions)
         : m_thread(thread), m_registry(registry), m_members(members), m_callbacks(std::move(functions)) {}
 
-    /// Reads the list and registers this instance, again until both succeed, and compares the list with the
-    /// members from then on. In a fleet that starts as a whole, the list is read after the registration,
-    /// since the others register at the same time.
-    void join(bool is_first_start);
+    /// Registers this instance and reads the list, again until both succeed, and compares the list with the
+    /// members from then on. Reads the list in the meantime if the registration takes long.
+    void join();
     void stop() noexcept { m_is_stopping = true; }
     /// Writes this instance's row over whatever row its address has. Throws what `platform_store` throws.
     void write_row();
@@ -48,7 +47,7 @@
 private:
     /// Reads the list and merges it into the members.
     member_list_findings read_members();
-    void register_and_read(bool is_first_start);
+    void read_members_early();
     void run_audit_loop();
     void audit();
 
--- a/Libraries/Gateway/gateway/fleet_synchronizer.cpp
+++ b/Libraries/Gateway/gateway/fleet_synchronizer.cpp
@@ -683,7 +683,7 @@
         boost::this_fiber::sleep_for(random_up_to(first_start_spread));
     }
     m_thread.spawn([this] { fetch_first_snapshot(); });
-    m_registration.join(settings.is_first_start);
+    m_registration.join();
     if (m_stopping) {
         return;
     }
--- a/Tests/Processes/platform_stand_in.py
+++ b/Tests/Processes/platform_stand_in.py
@@ -80,6 +80,7 @@
         self.feed_checks = 0  # Feeds that do not wait.
         self.total_calls = 0
         self.tables_reads = 0  # Of the complete tables.
+        self.members_reads = 0
         self.max_page_rows = 500
         self.object_names = []  # Of the objects that were stored, in order.
         self.era = None  # Stated in every response, if set.
@@ -154,6 +155,7 @@
                 return (503, {}) if self.down else (200, {"rows": rows, "ver": self.version, "now_s": 1.0})
             if path.endswith("rows-get"):
                 self.tables_reads += parameters["table"] == "op"
+                self.members_reads += parameters["table"] == "members"
                 rows = [row for row in self.rows_of_table(parameters["table"]) if row["key"] >= parameters.get("from", "")]
                 return 200, {"rows": rows[:self.max_page_rows], "truncated": len(rows) > self.max_page_rows,
                              "ver": self.version, "now_s": 1.0} | self.field_overrides
