--- a/Libraries/Coordination/coordination/rate_division_keeper.hpp
+++ b/Libraries/Coordination/coordination/rate_division_keeper.hpp
@@ -21,8 +21,8 @@
     std::chrono::milliseconds lease_margin{500};
     /// The first holder reads the division at this interval, in each round; the others ask it.
     std::chrono::milliseconds first_holder_interval{900};
-    /// Any other holder reads it when its own confirmation is so old. A quarter of a lease is left for the
-    /// rest of an outage in which the first holder could not read it either.
+    /// Any other holder reads it when its own confirmation is so old. The rest of the lease is left for an
+    /// outage in which the first holder could not read it either.
     std::chrono::milliseconds other_holder_interval{3000};
     /// Homes read it so often while no holder answers them.
     std::chrono::milliseconds unheard_interval{1500};
