Gateway: Withhold a target's status that callers take for "not run"

The caller gets the 503, which promises that the payment has not run, sends it again, and it runs twice. Cause: every complete response of a target was returned unchanged, whatever its status. 408, 421, 429 and 503 tell callers "not run"; the target states that only with Not-Executed, or with 421. Nothing compared the two. Change: `interpret_response` decides what a complete response means. A 408, 429 or 503 without the statement counts as one of a request that may have run: an idempotent request is sent to another target within the budget, and otherwise the caller gets 502 without the target's signature. As retries, hedges, stops and deadlines all ask the same outcome, none of them keeps such a response for later or follows it with a refusal.

--- a/Libraries/Gateway/gateway/request_attempts.cpp
+++ b/Libraries/Gateway/gateway/request_attempts.cpp
@@ -264,7 +264,7 @@
         outcome = attempt_outcome::cancelled;
     } else if (report.outcome == exchange_outcome::not_executed) {
         outcome = report.wrong_target ? attempt_outcome::failed : attempt_outcome::refused;
-    } else if (report.outcome != exchange_outcome::response_received) {
+    } else if (!report.response) {
         outcome = now >= state.deadline ? attempt_outcome::timed_out : attempt_outcome::failed;
         m_state.counters.add(report.outcome == exchange_outcome::not_sent ? counter::target_connect_failures
                                                                           : counter::target_exchanges_broken);
--- a/Libraries/Gateway/gateway/request_dispatcher.cpp
+++ b/Libraries/Gateway/gateway/request_dispatcher.cpp
@@ -195,7 +195,8 @@
                 continue;
             }
             request.last_reason = report.failure_reason;
-            may_have_run = may_have_run || report.outcome == exchange_outcome::incomplete;
+            may_have_run = may_have_run || report.outcome == exchange_outcome::incomplete ||
+                           report.outcome == exchange_outcome::status_withheld;
         }
         if (request.notifier.is_serving_over()) {
             return finish_interrupted(request, *attempts, may_have_run, std::move(error_response));
--- a/Libraries/Gateway/gateway/target_client.cpp
+++ b/Libraries/Gateway/gateway/target_client.cpp
@@ -1,5 +1,6 @@
 #include "gateway/target_client.hpp"
 
+#include "gateway/response_meaning.hpp"
 #include "protocol/message_reading.hpp"
 #include "protocol/refused_request_ids.hpp"
 #include "transport/listener.hpp"
@@ -271,8 +272,13 @@
             m_wire_format.parse_warm_up(header_field(response, m_wire_format.warm_up_header));
     }
     auto const status = response.result_int();
-    if (status == 421 ||
-        (status >= 400 && !header_field(response, m_wire_format.not_started_header).empty())) {
+    auto const meaning = interpret_response(
+        {.status = status,
+         .states_not_executed = !header_field(response, m_wire_format.not_started_header).empty(),
+         .matches_request = matches_request,
+         .is_signed = !header_field(response, m_wire_format.target_signature_header).empty(),
+         .is_encoded = !header_field(response, "Content-Encoding").empty()});
+    if (meaning == response_meaning::not_executed) {
         report.outcome = exchange_outcome::not_executed;
         report.wrong_target = status == 421;
         report.failure_reason = "the target did not run it, status " + std::to_string(status);
@@ -285,11 +291,17 @@
         report.response = std::move(response);
         return report;
     }
-    if (!matches_request || header_field(response, m_wire_format.target_signature_header).empty() ||
-        !header_field(response, "Content-Encoding").empty()) {
+    if (meaning == response_meaning::foreign) {
         report.failure_reason = "the response is not the target's own, status " + std::to_string(status);
         return report;
     }
+    if (meaning == response_meaning::withheld) {
+        report.outcome = exchange_outcome::status_withheld;
+        report.failure_reason =
+            "status " + std::to_string(status) + " without a statement that it did not run";
+        report.response = std::move(response);
+        return report;
+    }
     report.outcome = exchange_outcome::response_received;
     report.response = std::move(response);
     return report;
--- a/Libraries/Gateway/gateway/target_client.hpp
+++ b/Libraries/Gateway/gateway/target_client.hpp
@@ -26,10 +26,13 @@
 /// What the client observed of one exchange, whether an attempt or a load probe: how much reached the target
 /// and what came back. `attempt_outcome` rates an attempt for the choice of later targets.
 enum class exchange_outcome : std::uint8_t {
-    response_received, ///< The target's complete response, of any status.
-    not_sent,          ///< No byte was sent: cancelled, past the deadline, or no connection.
-    not_executed,      ///< The target reported that it did not run the request.
-    incomplete,        ///< The request may have run, but no usable response arrived.
+    response_received, ///< The target's complete response, which the caller may receive.
+    /// The target's complete response, with a status that tells callers that the request was not run, which
+    /// the target does not state. The request may have run, and the response must not reach the caller.
+    status_withheld,
+    not_sent,     ///< No byte was sent: cancelled, past the deadline, or no connection.
+    not_executed, ///< The target reported that it did not run the request.
+    incomplete,   ///< The request may have run, but no usable response arrived.
 };
 
 /// What the responses of one exchange state about the target's availability, whichever request they answer.
@@ -42,8 +45,8 @@
 
 struct exchange_report {
     exchange_outcome outcome = exchange_outcome::incomplete;
-    std::optional<http_response> response; ///< Set when `response_received`.
-    std::string failure_reason;            ///< For the log; empty when a response was received.
+    std::optional<http_response> response; ///< Set when `response_received` or `status_withheld`.
+    std::string failure_reason;            ///< For the log; empty when `response_received`.
     std::optional<load_report> target_load_report;
     bool wrong_target = false; ///< Status 421: another target has the address.
     target_notice notice;
--- a/Tests/Entry/test_target_refusals.cpp
+++ b/Tests/Entry/test_target_refusals.cpp
@@ -59,3 +59,26 @@
         }
     }
 }
+
+// Callers of these instances take a status for "not run" only by the outcome beside it, which is `ran` for
+// every response of a target that is delivered. Guards against a refusal that the target did not state
+// (REFUSED).
+TEST(target_refusals, only_a_refusal_that_the_target_states_counts_as_not_started) {
+    auto const own = std::string(header::request_id) + ": r1\r\n";
+    auto const stated = std::string(header::not_started) + ": 1\r\n";
+    struct {
+        std::string status;
+        std::string fields;
+        bool is_not_started;
+    } const rows[] = {
+        {"503 Full", stated, true}, {"503 Full", "", false},  {"408 Late", "", false},
+        {"421 Other", "", false},   {"429 Later", "", false}, {"200 OK", stated, false},
+    };
+    for (auto const& row : rows) {
+        repeating_target target({response_with(row.fields + own, "", row.status)});
+        auto const result = send(target.address(), "r1");
+        CHECK_EQUAL_TEXT(row.is_not_started, result.status == attempt_status::not_started,
+                         row.status.c_str());
+        CHECK_EQUAL_TEXT(!row.is_not_started, result.response.has_value(), row.status.c_str());
+    }
+}
--- a/Tests/Processes/platform_stand_in.py
+++ b/Tests/Processes/platform_stand_in.py
@@ -333,6 +333,9 @@
                     self.respond(connection, request_id, "500 Failed")
                     continue
                 behaviour = "slow3"
+            if behaviour.startswith("unstated"):
+                self.respond(connection, request_id, f"{behaviour[8:]} Failed afterwards", "Retry-After: 0\r\n")
+                continue
             if behaviour == "die":
                 return
             if behaviour == "cut":
--- a/Tests/Processes/test_forwarding.py
+++ b/Tests/Processes/test_forwarding.py
@@ -140,6 +140,21 @@
         self.assertNotIn("server-signature", headers)
         self.assertEqual(self.only_target.executed_ids, [])
 
+    # Guards against a target's own status that tells callers "not run" of a request that ran (REFUSED).
+    def test_status_of_a_target_that_ran_the_request_does_not_tell_the_caller_that_it_did_not_run(self):
+        for own_status in (408, 429, 503):
+            for method, path in (("POST", "/write"), ("POST", "/both"), ("GET", "/read")):
+                request_id = f"u{method}{path[1:]}{own_status}"
+                status, headers, _ = self.instance.send_request(f"{path}/unstated{own_status}", request_id, method, b"x")
+                executed_count = (self.only_target.executed_ids + self.faulty.executed_ids).count(request_id)
+                with self.subTest(request=request_id, status=status, executed_count=executed_count):
+                    # An idempotent request that was withheld may have been sent to the sound target as well.
+                    self.assertIn(status, (200, 502) if method == "GET" or not executed_count else (502,))
+                    self.assertNotIn("retry-after", headers)
+                    self.assertEqual("server-signature" in headers, status == 200)
+                    self.assertLessEqual(executed_count, 1)
+        self.wait_until(lambda: "status 503 without a statement" in self.instance.log_path.read_text())
+
     def test_second_copy_of_a_refusal_is_not_taken_for_the_next_requests_refusal(self):
         for i in range(3):
             self.assertEqual(self.instance.send_request("/write/shedtwice", f"sr{i}", "POST", b"x")[0], 503)
