Gateway: Divide the burst of extra attempts through the platform's store

Cause: each instance divided the fleet's burst by the homes that it counted itself. Groups that do not know each other each took the whole. Change: the burst is divided like the rates of workspaces, among holders that a row of the platform's store names, each with its part on a lease. `rate_divider` no longer knows what its parts are for. Evidence: process_extra_attempts, six real processes that see only their own row of the members: 90 extra attempts of 44 allowed on; passes now, as does its test that a fleet that knows itself uses the burst. test_gateway passes (61).

--- a/Libraries/Gateway/gateway/fleet_synchronizer.cpp
+++ b/Libraries/Gateway/gateway/fleet_synchronizer.cpp
@@ -109,13 +109,18 @@
       m_load_exchange(
           state, m_homes,
           [this](fleet_datagram const& message, endpoint const& to) { m_socket.send(message, to); }),
-      m_rate_divider(thread, state.rates, store.rate_divisions(), m_peer_connections,
-                     state.settings.peer_address,
-                     {.fleet = [this] { return known_fleet(); },
-                      .record_store_call =
-                          [this](bool is_available, std::string_view reason) {
-                              record_store_availability(is_available, "rates", reason);
-                          }}) {
+      m_rate_divider(
+          thread, store.rate_divisions(), m_peer_connections, state.settings.peer_address,
+          {.fleet = [this] { return known_fleet(); },
+           .demand = [this] { return demand_for_parts(); },
+           .part_changed =
+               [this](rate_part part, boot_clock::time_point valid_until, std::vector<endpoint> holders) {
+                   m_state.set_part(part, valid_until, std::move(holders));
+               },
+           .record_store_call =
+               [this](bool is_available, std::string_view reason) {
+                   record_store_availability(is_available, "rates", reason);
+               }}) {
     m_state.rates.set_sender(
         [this](fleet_datagram const& message, endpoint const& to) { m_socket.send(message, to); });
     m_store.set_era_observer([this](std::uint64_t era) { learn_store_era(era, "store"); });
@@ -625,8 +630,7 @@
         }
     }
     m_membership.set_watched(std::move(home_ids));
-    m_state.set_fleet_share(knows_fleet(), m_homes.is_home(m_membership.self().peer_address),
-                            m_homes.max_homes_per_host());
+    m_state.set_homes(knows_fleet(), m_homes.max_homes_per_host());
     refresh_slot_claims();
 }
 
@@ -634,6 +638,13 @@
     return m_registration.has_read_members() || clock::now() - m_started_at >= fleet_discovery_time;
 }
 
+part_demand fleet_synchronizer::demand_for_parts() const {
+    bool const has_rates = !m_state.rates.empty();
+    return {.is_divided = has_rates || m_state.extra_attempts.has_burst(),
+            .is_short = m_state.rates.needs_tokens() || m_state.extra_attempts.needs_part(),
+            .includes_rates = has_rates};
+}
+
 rate_division_fleet fleet_synchronizer::known_fleet() const {
     rate_division_fleet fleet{.homes = m_homes.all_peer_addresses(),
                               .leaving = {},
@@ -997,7 +1008,8 @@
                           {"rate_division",
                            {{"version", m_rate_divider.division().version.number},
                             {"holders", m_rate_divider.division().holders.size()},
-                            {"settled", m_rate_divider.division().is_settled()}}},
+                            {"settled", m_rate_divider.division().is_settled()},
+                            {"holds_part", m_rate_divider.part().is_held}}},
                           {"members", members}}
                .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) +
            "\n";
--- a/Libraries/Gateway/gateway/fleet_synchronizer.hpp
+++ b/Libraries/Gateway/gateway/fleet_synchronizer.hpp
@@ -99,7 +99,8 @@
     /// Whether the members are likely to be the whole fleet, so that this instance knows its share of what
     /// the fleet divides.
     [[nodiscard]] bool knows_fleet() const;
-    /// What the division of the rates of workspaces depends on.
+    [[nodiscard]] part_demand demand_for_parts() const;
+    /// What the division of the fleet's rates and bursts depends on.
     [[nodiscard]] rate_division_fleet known_fleet() const;
     /// Recomputes the order in which homes use the targets' last slots where homes or targets changed.
     void refresh_slot_claims();
--- a/Libraries/Gateway/gateway/forwarding_state.cpp
+++ b/Libraries/Gateway/gateway/forwarding_state.cpp
@@ -1,17 +1,45 @@
 #include "gateway/forwarding_state.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace pomelospread {
 
-void extra_attempt_budgets::set_home_count(std::size_t count) {
-    m_instance_burst = count == 0 ? 1.0 : std::max(1.0, m_fleet_burst / static_cast<double>(count));
+void extra_attempt_budgets::set_part(rate_part part, boot_clock::time_point valid_until) {
+    m_part_valid_until = valid_until;
+    m_holds_part = part.is_held && boot_clock::now() < valid_until;
+    set_instance_burst(m_holds_part ? std::max(1.0, m_fleet_burst / static_cast<double>(part.divisor)) : 1.0);
+}
+
+void extra_attempt_budgets::set_instance_burst(double burst) {
+    if (m_instance_burst == burst) {
+        return;
+    }
+    m_instance_burst = burst;
     for (auto& [pool, budget] : m_budgets) {
         budget->set_burst(m_instance_burst);
     }
 }
 
+bool extra_attempt_budgets::try_withdraw(std::string const& pool) {
+    if (budget_for(pool).try_withdraw()) {
+        return true;
+    }
+    m_refused_at = boot_clock::now();
+    return false;
+}
+
+bool extra_attempt_budgets::needs_part() const {
+    return has_burst() && !m_holds_part && m_refused_at != boot_clock::time_point{} &&
+           boot_clock::now() - m_refused_at < refusal_validity;
+}
+
 ratio_budget& extra_attempt_budgets::budget_for(std::string const& pool) {
+    // Also when the process was suspended since the part was set.
+    if (m_holds_part && boot_clock::now() >= m_part_valid_until) {
+        m_holds_part = false;
+        set_instance_burst(1.0);
+    }
     auto& budget = m_budgets[pool];
     if (budget == nullptr) {
         budget = std::make_unique<ratio_budget>(m_ratio, m_instance_burst);
@@ -29,12 +57,16 @@
       rates({.fleet_slack = settings.workspace_rate_slack}),
       account(self, settings.journal_capacity, counters) {}
 
-void forwarding_state::set_fleet_share(bool knows_fleet, bool is_home, std::size_t max_homes) {
+void forwarding_state::set_homes(bool knows_fleet, std::size_t max_homes) {
     max_homes_per_host = max_homes;
     selector.set_knows_homes(knows_fleet);
-    auto const home_count = knows_fleet && is_home ? max_homes : 0;
-    extra_attempts.set_home_count(home_count);
-    hedges.set_home_count(home_count);
+}
+
+void forwarding_state::set_part(rate_part part, boot_clock::time_point valid_until,
+                                std::vector<endpoint> holders) {
+    extra_attempts.set_part(part, valid_until);
+    hedges.set_part(part, valid_until);
+    rates.set_part(part, valid_until, std::move(holders));
 }
 
 double forwarding_state::probes_per_second(std::string const& target) const {
--- a/Libraries/Gateway/gateway/rate_divider.cpp
+++ b/Libraries/Gateway/gateway/rate_divider.cpp
@@ -17,8 +17,10 @@
 
 using std::chrono::milliseconds;
 
-/// Holders and homes confirm the division within a lease several times.
-constexpr auto round_interval = milliseconds(1000);
+/// Holders confirm the division within a lease several times. A missing part of the bursts of extra attempts
+/// delays no request, so without rates the rounds are fewer and homes that hold no part take none.
+constexpr auto rates_round_interval = milliseconds(1000);
+constexpr auto bursts_round_interval = milliseconds(2000);
 /// Instances that know no division yet, and need one.
 constexpr auto unknown_interval = milliseconds(300);
 /// Other instances, which need tokens, hear of changes of the holders.
@@ -35,10 +37,10 @@
 
 } // namespace
 
-rate_divider::rate_divider(io_thread& thread, workspace_rates& rates, rate_division_store& store,
-                           connection_cache& connections, endpoint self, sources known)
-    : m_thread(thread), m_rates(rates), m_store(store), m_connections(connections), m_self(std::move(self)),
-      m_sources(std::move(known)),
+rate_divider::rate_divider(io_thread& thread, rate_division_store& store, connection_cache& connections,
+                           endpoint self, callbacks functions)
+    : m_thread(thread), m_store(store), m_connections(connections), m_self(std::move(self)),
+      m_callbacks(std::move(functions)),
       m_keeper(m_self,
                {.exchange = [this](auto const& peers, auto const& state) { return exchange(peers, state); },
                 .read = [this] { return read(); },
@@ -47,7 +49,7 @@
                 .now = [] { return boot_clock::now(); }}) {}
 
 void rate_divider::start_if_needed() {
-    if (!m_is_running && !m_is_stopping && !m_rates.empty()) {
+    if (!m_is_running && !m_is_stopping && m_callbacks.demand().is_divided) {
         m_is_running = true;
         m_thread.spawn([this] { run(); });
     }
@@ -59,26 +61,28 @@
 }
 
 void rate_divider::run() {
-    while (!m_is_stopping && !m_rates.empty()) {
-        bool const needs_tokens = m_rates.needs_tokens();
-        if (boot_clock::now() >= (needs_tokens ? m_next_needed_round : m_next_round)) {
-            run_round(needs_tokens);
+    for (auto demand = m_callbacks.demand(); !m_is_stopping && demand.is_divided;
+         demand = m_callbacks.demand()) {
+        if (boot_clock::now() >= (demand.is_short ? m_next_needed_round : m_next_round)) {
+            run_round(demand);
         }
         boost::this_fiber::sleep_for(check_interval);
     }
     m_is_running = false;
 }
 
-void rate_divider::run_round(bool needs_tokens) {
-    auto fleet = m_sources.fleet();
-    fleet.needs_tokens = needs_tokens;
+void rate_divider::run_round(part_demand const& demand) {
+    auto fleet = m_callbacks.fleet();
+    fleet.needs_tokens = demand.is_short;
     // Before an instance has read the members, it is a home in its own view.
     bool const is_home = fleet.has_read_members && fleet.homes.contains(m_self) && !fleet.is_alone;
-    bool const is_participant = is_home || m_keeper.takes_part();
     bool const is_unknown = m_keeper.division().version.number == 0;
-    m_next_round = boot_clock::now() + jittered(is_unknown ? unknown_interval : round_interval);
-    // An instance that just started may need tokens soon.
-    if (is_participant || needs_tokens || (is_unknown && fleet.has_read_members)) {
+    bool const is_participant = m_keeper.takes_part() || (is_home && (is_unknown || demand.includes_rates));
+    m_next_round = boot_clock::now() + jittered(is_unknown              ? unknown_interval
+                                                : demand.includes_rates ? rates_round_interval
+                                                                        : bursts_round_interval);
+    if (is_participant || demand.is_short ||
+        (is_unknown && fleet.has_read_members && demand.includes_rates)) {
         m_next_needed_round =
             is_participant || is_unknown ? m_next_round : boot_clock::now() + jittered(guest_interval);
         m_keeper.run_round(fleet);
@@ -87,7 +91,7 @@
 }
 
 void rate_divider::publish_part() {
-    m_rates.set_part(m_keeper.part(), m_keeper.valid_until(), m_keeper.answering_holders());
+    m_callbacks.part_changed(m_keeper.part(), m_keeper.valid_until(), m_keeper.answering_holders());
 }
 
 std::map<endpoint, rate_division_state> rate_divider::exchange(std::vector<endpoint> const& peers,
@@ -155,10 +159,10 @@
 rate_division rate_divider::read() {
     try {
         auto result = m_store.read_division();
-        m_sources.record_store_call(true, "");
+        m_callbacks.record_store_call(true, "");
         return result;
     } catch (error const& failure) {
-        m_sources.record_store_call(false, failure.what());
+        m_callbacks.record_store_call(false, failure.what());
         throw;
     }
 }
@@ -173,10 +177,10 @@
                    static_cast<std::uint64_t>(next.previous_holders ? next.previous_holders->size() : 0))
             .field("settled", next.is_settled() ? "yes" : "no")
             .write();
-        m_sources.record_store_call(true, "");
+        m_callbacks.record_store_call(true, "");
         return is_written;
     } catch (error const& failure) {
-        m_sources.record_store_call(false, failure.what());
+        m_callbacks.record_store_call(false, failure.what());
         throw;
     }
 }
--- a/Libraries/Gateway/gateway/request_attempts.cpp
+++ b/Libraries/Gateway/gateway/request_attempts.cpp
@@ -60,14 +60,13 @@
         return request.received + decision.look_at;
     }
     auto const next_look = now + m_hedge_policy.limits().blocked_look_interval;
-    auto& hedges = m_state.hedges.budget_for(request.pool);
-    if (hedges.balance() < 1.0 || !m_state.extra_attempts.budget_for(request.pool).try_withdraw()) {
+    if (m_state.hedges.balance(request.pool) < 1.0 || !m_state.extra_attempts.try_withdraw(request.pool)) {
         if (!std::exchange(attempts->is_hedge_over_limit, true)) {
             m_state.counters.add(counter::hedges_over_limit);
         }
         return next_look;
     }
-    static_cast<void>(hedges.try_withdraw());
+    static_cast<void>(m_state.hedges.try_withdraw(request.pool));
     m_state.counters.add(counter::hedges);
     prepare_attempt(request, *attempts, *best, "hedge");
     attempts->states.back()->is_hedge = true;
--- a/Libraries/Gateway/gateway/request_dispatcher.cpp
+++ b/Libraries/Gateway/gateway/request_dispatcher.cpp
@@ -105,8 +105,8 @@
     }
     request.pool = choose_pool(route);
     request.sequence = m_state.account.append(record).value_or(0);
-    m_state.extra_attempts.budget_for(request.pool).deposit();
-    m_state.hedges.budget_for(request.pool).deposit();
+    m_state.extra_attempts.deposit(request.pool);
+    m_state.hedges.deposit(request.pool);
     return run_attempts(request);
 }
 
@@ -158,7 +158,6 @@
     auto const attempts = std::make_shared<attempt_set>();
     auto const& route = *request.route;
     m_admission.record_arrival(request.pool, request.groups(), request.received);
-    auto& budget = m_state.extra_attempts.budget_for(request.pool);
     if (!start_attempt(request, attempts, "first")) {
         bool const is_paused =
             m_state.selector.paused_until(request.pool, std::chrono::steady_clock::now()).has_value();
@@ -218,7 +217,8 @@
             // A retry waits for a permit, but not for targets to be usable again.
             bool const has_other_target =
                 m_state.selector.usable_target_count(request.pool, attempts->excluded_targets, now) > 0;
-            if (has_time && within_limits && has_other_target && (!was_sent || budget.try_withdraw())) {
+            if (has_time && within_limits && has_other_target &&
+                (!was_sent || m_state.extra_attempts.try_withdraw(request.pool))) {
                 m_state.counters.add(counter::retries);
                 started = start_attempt(request, attempts, "retry");
             }
--- a/Tests/Processes/platform_stand_in.py
+++ b/Tests/Processes/platform_stand_in.py
@@ -271,6 +271,26 @@
         self.is_cut = False
 
 
+class StoreView(TcpServer):
+    """The platform's store as one instance sees it: without the rows for which `is_hidden` returns true."""
+
+    def __init__(self, store, is_hidden):
+        self.store = store
+        self.is_hidden = is_hidden
+        super().__init__()
+
+    def serve(self, connection, stream):
+        while message := read_http_message(stream):
+            (method, target, _), _, body = message
+            status, document = self.store.handle_request(method, target, body)
+            if status is None:
+                return
+            if "rows" in document:
+                document = document | {"rows": [row for row in document["rows"] if not self.is_hidden(row)]}
+            text = json.dumps(document).encode()
+            connection.sendall(f"HTTP/1.1 {status} X\r\nContent-Length: {len(text)}\r\n\r\n".encode() + text)
+
+
 class TargetStandIn(TcpServer):
     """Executes requests. The last segment of the path selects the fault to inject, if faults are enabled."""
 
