Gateway: Take the sender of a datagram from the datagram

Cause: the sender was taken to be the datagram's IP address and the receiver's own peer port. The model of the same groups has no ports; its new case passes before and after. Change: the socket passes the address and port from which a datagram came.

--- a/Libraries/Gateway/gateway/fleet_datagram_socket.cpp
+++ b/Libraries/Gateway/gateway/fleet_datagram_socket.cpp
@@ -65,7 +65,7 @@
 }
 
 void fleet_datagram_socket::receive(
-    std::function<void(fleet_datagram const&, std::string const& sender)> const& handler) {
+    std::function<void(fleet_datagram const&, endpoint const& sender)> const& handler) {
     std::array<char, 2048> buffer{};
     while (!m_closed) {
         boost::system::error_code error;
@@ -81,7 +81,7 @@
         m_counters.add(counter::heartbeats_received);
         m_counters.add(counter::heartbeat_bytes_received, count);
         try {
-            handler(decode_datagram({buffer.data(), count}), sender.address().to_string());
+            handler(decode_datagram({buffer.data(), count}), {sender.address().to_string(), sender.port()});
         } catch (std::exception const& failure) {
             m_counters.add(counter::datagrams_rejected);
             log_line(log_level::warning, "datagram_rejected").field("reason", failure.what()).write();
--- a/Libraries/Gateway/gateway/fleet_datagram_socket.hpp
+++ b/Libraries/Gateway/gateway/fleet_datagram_socket.hpp
@@ -28,9 +28,8 @@
     }
     /// Stamps the message with the time and encodes it once.
     void send_to_all(fleet_datagram message, std::span<endpoint const> receivers);
-    /// Passes every message and its sender's IP address to `handler` until `close`. Suspends the calling
-    /// fiber.
-    void receive(std::function<void(fleet_datagram const&, std::string const& sender)> const& handler);
+    /// Passes every message and its sender to `handler` until `close`. Suspends the calling fiber.
+    void receive(std::function<void(fleet_datagram const&, endpoint const& sender)> const& handler);
     void close();
 
 private:
--- a/Libraries/Gateway/gateway/fleet_synchronizer.cpp
+++ b/Libraries/Gateway/gateway/fleet_synchronizer.cpp
@@ -799,11 +799,10 @@
     return peers[thread_random()() % peers.size()];
 }
 
-void fleet_synchronizer::handle_datagram(fleet_datagram const& message, std::string const& sender_ip) {
-    endpoint const sender{sender_ip, m_state.settings.peer_address.port};
+void fleet_synchronizer::handle_datagram(fleet_datagram const& message, endpoint const& sender) {
     auto const now = clock::now();
     milliseconds const sender_clock(std::min(message.sent_ms, max_sent_ms));
-    auto const sent_at = now - m_transit_delays.extra_delay(sender_ip, sender_clock, now);
+    auto const sent_at = now - m_transit_delays.extra_delay(to_string(sender), sender_clock, now);
     bool const forwards = m_plan.forwards_from(sender);
     if (message.has_members) {
         introduce_sender(message, sender);
--- a/Libraries/Gateway/gateway/fleet_synchronizer.hpp
+++ b/Libraries/Gateway/gateway/fleet_synchronizer.hpp
@@ -107,7 +107,7 @@
     /// Whom to ask while this instance is not ready: in turn a relay of its zone and anybody.
     [[nodiscard]] std::optional<endpoint> choose_snapshot_peer(std::uint32_t round) const;
     void log_fleet_bytes() const;
-    void handle_datagram(fleet_datagram const& message, std::string const& sender_ip);
+    void handle_datagram(fleet_datagram const& message, endpoint const& sender);
     /// Returns whether the list is newer or more recently read than before.
     bool handle_target_list_update(target_list_update const& update, endpoint const& sender,
                                    clock::time_point sent_at);
--- a/Tests/Coordination/test_member_list_audit.cpp
+++ b/Tests/Coordination/test_member_list_audit.cpp
@@ -16,7 +16,10 @@
 /// Instances that exchange heartbeats and introductions as `fleet_synchronizer` does, and the list.
 class audited_fleet {
 public:
-    explicit audited_fleet(std::size_t size) {
+    explicit audited_fleet(
+        std::size_t size,
+        std::function<bool(std::size_t, std::size_t)> sees_row = [](auto, auto) { return true; })
+        : sees_row_of(std::move(sees_row)) {
         for (std::size_t i = 0; i < size; ++i) {
             start(i);
         }
@@ -75,6 +78,8 @@
     }
 
     std::function<bool(std::size_t, std::size_t)> link_works = [](auto, auto) { return true; };
+    /// Whether the list that an instance reads has another one's row.
+    std::function<bool(std::size_t, std::size_t)> sees_row_of;
     std::map<endpoint, listed_member> rows;
     membership::time_point now{1h};
     std::size_t reads = 0;
@@ -94,6 +99,9 @@
         std::vector<listed_member> listed;
         std::vector<instance_entry> entries;
         for (auto const& [address, row] : rows) {
+            if (!sees_row_of(i, address.port - 1U)) {
+                continue;
+            }
             listed.push_back(row);
             entries.push_back(row.entry);
         }
@@ -208,6 +216,25 @@
     }
 }
 
+// Guards against groups that stay apart since no member of one was ever known in the other (FAILBACK).
+TEST(member_list_audits, groups_that_never_knew_each_other_find_each_other) {
+    struct {
+        std::size_t size;
+        std::size_t first_group_size;
+    } const rows[] = {{6, 2}, {17, 6}, {17, 1}, {17, 8}, {40, 20}};
+    for (auto const& row : rows) {
+        auto const is_same_group = [&row](auto one, auto other) {
+            return (one < row.first_group_size) == (other < row.first_group_size);
+        };
+        audited_fleet fleet(row.size, is_same_group);
+        fleet.run(12s);
+        CHECK_FALSE(fleet.all_know_all(numbers_below(row.size)));
+        fleet.sees_row_of = [](auto, auto) { return true; };
+        fleet.run(find_time(row.size));
+        CHECK(fleet.all_know_all(numbers_below(row.size)));
+    }
+}
+
 TEST(member_list_audits, rows_of_instances_that_are_gone_are_removed) {
     audited_fleet fleet(6);
     fleet.run(2s);
