Gateway: Ask a store without a division no more often than each two seconds

Seen: process_restored_store failed on: 63 calls in 4 s, 23 allowed, to a store whose answers are refused. The division of bursts was asked for each 0.3 s, and twice a round, by instances that know none. Only requests that wait for tokens justify that. Change: without rates of workspaces the rounds are always 2 s long, and a read that failed in a round is not repeated in it.

--- a/Libraries/Coordination/coordination/rate_division_keeper.cpp
+++ b/Libraries/Coordination/coordination/rate_division_keeper.cpp
@@ -65,12 +65,12 @@
 void rate_division_keeper::run_round(rate_division_fleet const& fleet) {
     m_silent_now.clear();
     m_is_home = fleet.homes.contains(m_self);
-    if (!is_known()) {
-        // A part that this instance held before its start is valid as soon as the store confirms it.
+    // A part that this instance held before its start is valid as soon as the store confirms it.
+    bool const has_failed = !is_known() && !confirm(fleet);
+    hear_peers(fleet);
+    if (!has_failed || is_known()) {
         confirm(fleet);
     }
-    hear_peers(fleet);
-    confirm(fleet);
     bool const is_abandoned = fleet.needs_tokens && !has_heard_holder();
     bool const is_concerned = (takes_part() || m_is_home) && !fleet.is_alone;
     if (is_known() && !m_has_resigned && (is_concerned || is_abandoned || m_disputed)) {
@@ -178,19 +178,21 @@
     return is_concerned && !has_heard_holder() ? std::optional(m_policy.unheard_interval) : std::nullopt;
 }
 
-void rate_division_keeper::confirm(rate_division_fleet const& fleet) {
+bool rate_division_keeper::confirm(rate_division_fleet const& fleet) {
     auto const interval = confirm_interval(fleet);
     auto const age = m_calls.now() - m_lease.confirmed_at();
     if (!interval || (is_known() && age < *interval)) {
-        return;
+        return true;
     }
     try {
         read();
+        return true;
     } catch (error const&) {
         // The caller of the store reports the failure. Others may reach it.
         if (age >= m_policy.lease / 2) {
             exchange(other_holders());
         }
+        return false;
     }
 }
 
--- a/Libraries/Coordination/coordination/rate_division_keeper.hpp
+++ b/Libraries/Coordination/coordination/rate_division_keeper.hpp
@@ -101,7 +101,8 @@
     /// The holders in the order in which this instance asks them.
     [[nodiscard]] std::vector<endpoint> other_holders() const;
     void hear_peers(rate_division_fleet const& fleet);
-    void confirm(rate_division_fleet const& fleet);
+    /// Reads the division if its confirmation is too old. Returns false if that failed.
+    bool confirm(rate_division_fleet const& fleet);
     /// How old a confirmation may be here before the store is asked; nothing when it need not be asked.
     [[nodiscard]] std::optional<std::chrono::milliseconds>
     confirm_interval(rate_division_fleet const& fleet) const;
--- a/Libraries/Gateway/gateway/rate_divider.cpp
+++ b/Libraries/Gateway/gateway/rate_divider.cpp
@@ -21,7 +21,7 @@
 /// delays no request, so without rates the rounds are fewer and homes that hold no part take none.
 constexpr auto rates_round_interval = milliseconds(1000);
 constexpr auto bursts_round_interval = milliseconds(2000);
-/// Instances that know no division yet, and need one.
+/// Instances that know no division yet, and need tokens.
 constexpr auto unknown_interval = milliseconds(300);
 /// Other instances, which need tokens, hear of changes of the holders.
 constexpr auto guest_interval = milliseconds(2500);
@@ -78,9 +78,9 @@
     bool const is_home = fleet.has_read_members && fleet.homes.contains(m_self) && !fleet.is_alone;
     bool const is_unknown = m_keeper.division().version.number == 0;
     bool const is_participant = m_keeper.takes_part() || (is_home && (is_unknown || demand.includes_rates));
-    m_next_round = boot_clock::now() + jittered(is_unknown              ? unknown_interval
-                                                : demand.includes_rates ? rates_round_interval
-                                                                        : bursts_round_interval);
+    auto const rates_interval = is_unknown ? unknown_interval : rates_round_interval;
+    m_next_round =
+        boot_clock::now() + jittered(demand.includes_rates ? rates_interval : bursts_round_interval);
     if (is_participant || demand.is_short ||
         (is_unknown && fleet.has_read_members && demand.includes_rates)) {
         m_next_needed_round =
--- a/Tests/Processes/platform_stand_in.py
+++ b/Tests/Processes/platform_stand_in.py
@@ -81,6 +81,7 @@
         self.total_calls = 0
         self.tables_reads = 0  # Of the complete tables.
         self.members_reads = 0
+        self.division_reads = 0
         self.max_page_rows = 500
         self.object_names = []  # Of the objects that were stored, in order.
         self.era = None  # Stated in every response, if set.
@@ -156,6 +157,7 @@
             if path.endswith("rows-get"):
                 self.tables_reads += parameters["table"] == "op"
                 self.members_reads += parameters["table"] == "members"
+                self.division_reads += parameters["table"] == "rates"
                 rows = [row for row in self.rows_of_table(parameters["table"]) if row["key"] >= parameters.get("from", "")]
                 return 200, {"rows": rows[:self.max_page_rows], "truncated": len(rows) > self.max_page_rows,
                              "ver": self.version, "now_s": 1.0} | self.field_overrides
