--- a/Libraries/Coordination/coordination/rate_division.hpp
+++ b/Libraries/Coordination/coordination/rate_division.hpp
@@ -1,6 +1,7 @@
-// Which instances generate the tokens of the fleet's rates. The division is a row of the platform's store,
-// written under the condition of its version, and each holder has its part on a lease (Gray and Cheriton,
-// "Leases: an efficient fault-tolerant mechanism for distributed file cache consistency", SOSP 1989).
+// Which instances have a part of what the fleet divides: they generate the tokens of its rates and save up
+// its bursts of extra attempts. The division is a row of the platform's store, written under the condition of
+// its version, and each holder has its part on a lease (Gray and Cheriton, "Leases: an efficient
+// fault-tolerant mechanism for distributed file cache consistency", SOSP 1989).
 #pragma once
 
 #include "base/boot_clock.hpp"
@@ -14,7 +15,7 @@
 
 namespace pomelospread {
 
-/// An instance's part of each rate: one of `divisor` equal ones, or none.
+/// An instance's part of each rate and burst: one of `divisor` equal ones, or none.
 struct rate_part {
     std::size_t divisor = 1;
     bool is_held = false;
--- a/Libraries/Coordination/coordination/rate_division_keeper.hpp
+++ b/Libraries/Coordination/coordination/rate_division_keeper.hpp
@@ -59,7 +59,7 @@
     std::set<endpoint> leaving;  ///< They announced that they leave.
     std::vector<endpoint> peers; ///< Whom to ask while no division is known.
     bool has_read_members = false;
-    bool needs_tokens = false; ///< Requests that arrive here have too few.
+    bool needs_tokens = false; ///< Requests that arrive here have too few, or too few extra attempts.
     /// No other instance is heard. This one may be cut off from all others, which then live, so it changes
     /// nothing unless it needs tokens.
     bool is_alone = false;
