Tests: Fill the budgets only when the burst is divided

process_extra_attempts waited 5 s for the parts; where they came later, the balances could be filled too early and the check of the used burst fail. It asks each instance's status now.

--- a/Tests/Processes/test_extra_attempts.py
+++ b/Tests/Processes/test_extra_attempts.py
@@ -1,5 +1,6 @@
 #!/usr/bin/env python3
 """The budget of extra attempts over a fleet, also one whose instances do not know each other."""
+import json
 import pathlib
 import sys
 import tempfile
@@ -56,6 +57,11 @@
         for instance in self.instances:
             instance.wait_until_ready()
 
+    def holds_part(self, instance):
+        _, _, body = instance.exchange("metrics", b"GET /status HTTP/1.1\r\nHost: x\r\n\r\n")
+        division = json.loads(body)["rate_division"]
+        return division["holds_part"] and division["settled"] and division["holders"] == len(self.instances)
+
     def send(self, path, count_each, per_second):
         """Sends requests to the instances in turn."""
         threads = []
@@ -71,7 +77,6 @@
     def count_extra_attempts(self):
         """Fills the balances, lets the windows of these requests pass, and sends requests that each target refuses.
         Returns the number of these and of their attempts beyond the first."""
-        time.sleep(5)  # The members and their parts are known.
         self.send("/r/plain", FILL_REQUESTS, 150)
         time.sleep(2 * WINDOW_S)
         for target in self.targets:
@@ -83,12 +88,17 @@
     # Guards against instances that each take the fleet's whole burst, since they do not know each other (BUDGET).
     def test_instances_that_do_not_know_each_other_keep_the_budget_of_the_fleet(self):
         self.start(6, can_see=lambda own, other: own == other)
+        time.sleep(5)  # As long as a fleet that knows itself takes to divide the burst.
         requests, extra = self.count_extra_attempts()
         self.assertLessEqual(extra, RATIO * requests + SLACK)
         self.assertGreaterEqual(extra, RATIO * requests / 2)
 
     def test_instances_that_know_each_other_use_the_burst_of_the_fleet(self):
         self.start(3, can_see=lambda own, other: True)
+        deadline = time.monotonic() + 20
+        while not all(map(self.holds_part, self.instances)):
+            self.assertLess(time.monotonic(), deadline, "the burst is not divided")
+            time.sleep(0.1)
         requests, extra = self.count_extra_attempts()
         self.assertLessEqual(extra, RATIO * requests + SLACK)
         self.assertGreaterEqual(extra, RATIO * requests / 2 + SLACK / 2)
