Tests: Read the status of an instance in one place

Five process tests each wrote the same request for /status; `ForwardingInstance.status` serves them all. No assertion changed.

--- a/Tests/Processes/platform_stand_in.py
+++ b/Tests/Processes/platform_stand_in.py
@@ -441,6 +441,10 @@
             with connection.makefile("rb") as stream:
                 return read_http_message(stream)
 
+    def status(self):
+        """What the instance says of itself, of the fleet and of the division of rates and bursts."""
+        return json.loads(self.exchange("metrics", b"GET /status HTTP/1.1\r\nHost: x\r\n\r\n")[2])
+
     def send_request(self, path, request_id, method="GET", body=b"", deadline_ms=1500, headers=""):
         head = (f"{method} {path} HTTP/1.1\r\nHost: a.example\r\nRequest-Id: {request_id}\r\n{headers}"
                 f"Deadline-Ms: {deadline_ms}\r\nContent-Length: {len(body)}\r\n\r\n").encode()
--- a/Tests/Processes/test_extra_attempts.py
+++ b/Tests/Processes/test_extra_attempts.py
@@ -1,6 +1,5 @@
 #!/usr/bin/env python3
 """The budget of extra attempts over a fleet, also one whose instances do not know each other."""
-import json
 import pathlib
 import sys
 import tempfile
@@ -58,8 +57,7 @@
             instance.wait_until_ready()
 
     def holds_part(self, instance):
-        _, _, body = instance.exchange("metrics", b"GET /status HTTP/1.1\r\nHost: x\r\n\r\n")
-        division = json.loads(body)["rate_division"]
+        division = instance.status()["rate_division"]
         return division["holds_part"] and division["settled"] and division["holders"] == len(self.instances)
 
     def send(self, path, count_each, per_second):
--- a/Tests/Processes/test_forwarding.py
+++ b/Tests/Processes/test_forwarding.py
@@ -345,8 +345,7 @@
         other.wait_until_ready()
 
         def is_settled():
-            _, _, body = other.exchange("metrics", b"GET /status HTTP/1.1\r\nHost: x\r\n\r\n")
-            division = json.loads(body)["rate_division"]
+            division = other.status()["rate_division"]
             return division["holders"] == 2 and division["settled"]
         self.wait_until(is_settled, 20)
         time.sleep(1)
@@ -387,11 +386,7 @@
 
     def test_status_is_given_while_a_member_has_a_zone_that_is_no_text(self):
         self.send_datagram("valid-all", b"z", b"\xff")
-
-        def members():
-            _, _, body = self.instance.exchange("metrics", b"GET /status HTTP/1.1\r\nHost: x\r\n\r\n")
-            return json.loads(body)["members"]
-        self.wait_until(lambda: len(members()) == 2)
+        self.wait_until(lambda: len(self.instance.status()["members"]) == 2)
 
     def test_logs_explain_how_a_request_ended(self):
         self.instance.send_request("/write/shed", "e-shed", "POST")
--- a/Tests/Processes/test_member_groups.py
+++ b/Tests/Processes/test_member_groups.py
@@ -1,6 +1,5 @@
 #!/usr/bin/env python3
 """Instances that know only a part of the fleet, and find the rest."""
-import json
 import pathlib
 import sys
 import tempfile
@@ -37,11 +36,7 @@
 
     def known_counts(self):
         """How many members each instance counts alive."""
-        counts = []
-        for instance in self.instances:
-            _, _, body = instance.exchange("metrics", b"GET /status HTTP/1.1\r\nHost: x\r\n\r\n")
-            counts.append(sum(member["status"] == "alive" for member in json.loads(body)["members"]))
-        return counts
+        return [sum(member["status"] == "alive" for member in instance.status()["members"]) for instance in self.instances]
 
     def check_groups_find_each_other(self, sizes, has_same_ports):
         common_ports = {name: fleets.free_port() for name in LISTENERS}
--- a/Tests/Processes/test_restored_store.py
+++ b/Tests/Processes/test_restored_store.py
@@ -1,5 +1,4 @@
 """A store that comes back from an older copy: it begins a new era and gives version numbers out again."""
-import json
 import pathlib
 import sys
 import tempfile
@@ -57,9 +56,6 @@
             self.assertLess(time.monotonic(), deadline, description or "the condition")
             time.sleep(0.02)
 
-    def status(self, instance):
-        return json.loads(instance.exchange("metrics", b"GET /status HTTP/1.1\r\nHost: x\r\n\r\n")[2])
-
     def put_manifest(self, name, version=None):
         """Declares one route, under a newer version than the last."""
         self.version = version or self.version + 2
@@ -85,7 +81,7 @@
         return any(at > until - 1 for _, at in target.arrivals)
 
     def wait_for_targets(self, count, timeout=CHANGE_BOUND_S):
-        self.wait_until(lambda: all(self.status(instance)["targets"] == count for instance in self.instances), timeout,
+        self.wait_until(lambda: all(instance.status()["targets"] == count for instance in self.instances), timeout,
                         f"{count} targets")
 
     def raise_store_version(self):
@@ -196,7 +192,7 @@
         self.wait_for_targets(1)
         self.store.restore(copy)
         self.raise_store_version()
-        self.wait_until(lambda: self.status(self.instances[0])["store_era"] == 2)
+        self.wait_until(lambda: self.instances[0].status()["store_era"] == 2)
         self.instances[1].kill()
         self.instances[1] = self.start_instance(1)
         self.wait_until(self.instances[1].is_ready, 4)
@@ -205,7 +201,7 @@
     # A failed call is repeated each 0.7 s at the most, by the two loops of both instances.
     def test_responses_without_an_era_are_not_asked_for_without_a_pause(self):
         self.store.restore(self.store.take_copy())
-        self.wait_until(lambda: all(self.status(instance)["store_era"] == 2 for instance in self.instances))
+        self.wait_until(lambda: all(instance.status()["store_era"] == 2 for instance in self.instances))
         self.store.era = None
         calls, members_before = self.store.total_calls, self.store.members_reads
         division_before = self.store.division_reads
@@ -227,7 +223,7 @@
                 self.raise_store_version()
                 until = time.monotonic() + 1.5
                 while time.monotonic() < until:
-                    self.assertEqual({self.status(instance)["targets"] for instance in self.instances}, {2})
+                    self.assertEqual({instance.status()["targets"] for instance in self.instances}, {2})
                 if registers:
                     self.publish(self.targets[1])
                     time.sleep(2)
@@ -261,7 +257,7 @@
     def test_the_era_is_in_the_status_and_the_log(self):
         copy = self.store.take_copy()
         self.store.restore(copy)
-        self.wait_until(lambda: all(self.status(instance)["store_era"] == 2 for instance in self.instances))
+        self.wait_until(lambda: all(instance.status()["store_era"] == 2 for instance in self.instances))
         self.assertEqual(self.logged("store_era_changed"), 4)
 
 
--- a/Tests/Processes/test_silent_store.py
+++ b/Tests/Processes/test_silent_store.py
@@ -1,5 +1,4 @@
 """A store that leaves calls unanswered while their connections stay open, as review/1 and incident "unanswered"."""
-import json
 import pathlib
 import sys
 import tempfile
@@ -99,9 +98,7 @@
 
     def is_burst_divided(self):
         """Whether the homes know the last division of the burst of extra attempts, after which nothing is written."""
-        def status(instance):
-            return json.loads(instance.exchange("metrics", b"GET /status HTTP/1.1\r\nHost: x\r\n\r\n")[2])
-        divisions = [status(instance)["rate_division"] for instance in self.instances]
+        divisions = [instance.status()["rate_division"] for instance in self.instances]
         return sum(each["holders"] == HOMES and each["settled"] for each in divisions) >= HOMES
 
     def test_unanswered_long_polls_cost_few_calls(self):
